--- /dev/null
+++ b/libs/core/include/core/outcome.hpp
@@ -0,0 +1,34 @@
+#ifndef MASTICSHIFT_CORE_OUTCOME_HPP
+#define MASTICSHIFT_CORE_OUTCOME_HPP
+
+#include <core/result_code.hpp>
+
+#include <boost/system/result.hpp>
+
+#include <string>
+
+namespace masticshift
+{
+
+/// A numbered error with the detail that its reader needs.
+struct failure
+{
+    result_code code = result_code::internal;
+    std::string detail;
+};
+
+/// A value or a failure, for coroutines and other asynchronous paths.
+///
+/// Synchronous parse functions return `boost::leaf::result` instead. LEAF
+/// keeps its error objects in contexts of the current thread, which do not
+/// survive a suspended coroutine.
+template <class T>
+using outcome = boost::system::result<T, failure>;
+
+/// Called by `outcome::value()` when there is no value, a programming error.
+[[noreturn]] void throw_exception_from_error(failure const& error,
+                                             boost::source_location const& at);
+
+} // namespace masticshift
+
+#endif
--- /dev/null
+++ b/libs/core/include/core/time.hpp
@@ -0,0 +1,23 @@
+#ifndef MASTICSHIFT_CORE_TIME_HPP
+#define MASTICSHIFT_CORE_TIME_HPP
+
+#include <chrono>
+
+namespace masticshift
+{
+
+/// Functions that decide take the present time of this clock as an argument.
+using steady_clock = std::chrono::steady_clock;
+using time_point = steady_clock::time_point;
+using duration = steady_clock::duration;
+using std::chrono::milliseconds;
+
+/// Milliseconds as a floating-point number, for logs and answers.
+inline double to_milliseconds(duration length)
+{
+    return std::chrono::duration<double, std::milli>(length).count();
+}
+
+} // namespace masticshift
+
+#endif
