--- /dev/null
+++ b/libs/peer_link/idl/masticshift.thrift
@@ -0,0 +1,146 @@
+// Messages between entries. Each frame on a TCP connection is a 32-bit
+// big-endian length followed by one `envelope` in Thrift's compact protocol.
+
+namespace cpp masticshift.wire
+
+// Load of one service at one entry.
+struct service_load {
+  1: string service
+  2: i32 idle_slots
+  3: i32 queued_tasks
+}
+
+// The entry at `address` answers for the ids of a stopped process.
+struct succession {
+  1: string stopped_address
+  2: i64 stopped_incarnation
+  3: string address
+}
+
+struct heartbeat {
+  1: string address
+  2: i64 incarnation
+  3: i32 generation
+  4: string data_centre
+  5: i64 revision
+  6: list<service_load> loads
+  // Addresses of endpoints seen leaving in the VM list.
+  7: list<string> leaving_endpoints
+  8: bool draining
+  9: list<succession> successions
+  10: i64 sequence
+}
+
+struct heartbeat_reply {
+  1: i64 revision
+}
+
+enum forward_kind {
+  submit = 1
+  fetch = 2
+  cancel = 3
+}
+
+// A caller's call on an id whose home is the receiver.
+struct forward {
+  1: forward_kind kind
+  2: string id
+  // `submit`: the caller's body, for requests the raw input.
+  3: binary body
+  // Set for a single request, empty for a job.
+  4: string request_service
+  5: bool idempotent
+  6: i32 timeout_ms
+  7: i32 wait_ms
+}
+
+struct forward_reply {
+  1: i32 code
+  2: string ran
+  3: string detail
+  // HTTP status and body to be passed to the caller as they are.
+  4: i32 http_status
+  5: binary body
+  6: string content_type
+}
+
+struct borrow {
+  1: string service
+  2: i32 count
+  3: string borrower
+  4: i64 incarnation
+}
+
+struct lent_slot {
+  1: string endpoint
+  2: i32 slot
+  // Time from sending until the loan ends.
+  3: i32 valid_ms
+}
+
+struct borrow_reply {
+  1: list<lent_slot> slots
+}
+
+struct give_back {
+  1: string borrower
+  2: i64 incarnation
+  3: list<lent_slot> slots
+}
+
+struct fetch_text {
+}
+
+struct fetch_text_reply {
+  1: i64 revision
+  2: string text
+}
+
+struct handover_record {
+  1: string id
+  2: binary digest
+  3: i32 code
+  4: string ran
+  5: i32 http_status
+  6: binary answer
+  7: string content_type
+}
+
+// A part of the table of ids of a process that stops.
+struct handover {
+  1: string address
+  2: i64 incarnation
+  3: i32 oldest_generation
+  4: i32 newest_generation
+  5: i32 part
+  6: bool last
+  7: list<handover_record> records
+}
+
+struct handover_reply {
+  1: bool accepted
+}
+
+struct acknowledgement {
+}
+
+union message {
+  1: heartbeat heartbeat_call
+  2: heartbeat_reply heartbeat_answer
+  3: forward forward_call
+  4: forward_reply forward_answer
+  5: borrow borrow_call
+  6: borrow_reply borrow_answer
+  7: give_back give_back_call
+  8: fetch_text fetch_text_call
+  9: fetch_text_reply fetch_text_answer
+  10: handover handover_call
+  11: handover_reply handover_answer
+  12: acknowledgement acknowledgement_answer
+}
+
+struct envelope {
+  // Chosen by the caller; the answer repeats it.
+  1: i64 correlation
+  2: message content
+}
--- /dev/null
+++ b/libs/transport/include/transport/http_client.hpp
@@ -0,0 +1,87 @@
+#ifndef MASTICSHIFT_TRANSPORT_HTTP_CLIENT_HPP
+#define MASTICSHIFT_TRANSPORT_HTTP_CLIENT_HPP
+
+#include <core/outcome.hpp>
+#include <core/time.hpp>
+#include <transport/http_message.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace masticshift::transport
+{
+
+/// How far a call got before it failed.
+enum class call_stage
+{
+    /// No connection could be made.
+    not_connected,
+    /// Connected, but no byte of the request was handed to the network.
+    not_written,
+    /// Some or all of the request was handed to the network.
+    written
+};
+
+/// A failed call. Only `call_stage::written` leaves it open whether the
+/// server acted.
+struct call_failure
+{
+    call_stage stage = call_stage::not_connected;
+    failure error;
+};
+
+using call_result = boost::system::result<http_response, call_failure>;
+
+struct http_client_limits
+{
+    std::size_t max_body_bytes = 8 << 20;
+    std::size_t max_header_bytes = 16 << 10;
+    milliseconds connect{500};
+    /// A kept connection that was idle for longer is not reused.
+    milliseconds idle{1'000};
+    /// Sent bytes that stay unacknowledged for this long end the connection.
+    milliseconds unacknowledged{2'000};
+    /// Open connections to one address, at most. 0: no limit.
+    unsigned max_connections = 0;
+};
+
+/// An HTTP/1.1 client that keeps connections per address.
+///
+/// All members are called on the executor's thread.
+class http_client
+{
+public:
+    http_client(boost::asio::any_io_executor executor,
+                http_client_limits limits);
+    ~http_client();
+
+    http_client(http_client const&) = delete;
+    http_client& operator=(http_client const&) = delete;
+
+    /// Sends one request and waits for its whole answer until `deadline`.
+    /// Never sends the same request twice. `still_wanted`, when given, is
+    /// asked immediately before the first byte is written.
+    boost::asio::awaitable<call_result>
+    call(std::string ip, std::uint16_t port, http_request request,
+         time_point deadline,
+         std::function<bool(time_point now)> still_wanted = {});
+
+    /// Connections that are open to an address, in use or kept.
+    unsigned connections(std::string const& ip, std::uint16_t port) const;
+
+    /// Closes kept connections that were idle for too long.
+    void close_idle(time_point now);
+
+private:
+    class impl;
+    std::shared_ptr<impl> impl_;
+};
+
+} // namespace masticshift::transport
+
+#endif
