Add the HTTP server and client

Cause: every program of the whole path speaks HTTP. The client tells a call that was never written from one that may have been, which is what decides whether a task may be placed anew. Ruled out: Beast's own expiry for reading requests, since it closes the socket and the caller would get no numbered answer; a timer cancels the read instead.

--- a/libs/core/include/core/outcome.hpp
+++ b/libs/core/include/core/outcome.hpp
@@ -5,6 +5,7 @@
 
 #include <boost/system/result.hpp>
 
+#include <iosfwd>
 #include <string>
 
 namespace masticshift
@@ -17,6 +18,9 @@
     std::string detail;
 };
 
+/// Writes `NAME: DETAIL`.
+std::ostream& operator<<(std::ostream& out, failure const& error);
+
 /// A value or a failure, for coroutines and other asynchronous paths.
 ///
 /// Synchronous parse functions return `boost::leaf::result` instead. LEAF
--- a/libs/transport/include/transport/http_client.hpp
+++ b/libs/transport/include/transport/http_client.hpp
@@ -12,6 +12,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace masticshift::transport
 {
@@ -27,6 +28,8 @@
     written
 };
 
+std::string_view name_of(call_stage stage);
+
 /// A failed call. Only `call_stage::written` leaves it open whether the
 /// server acted.
 struct call_failure
@@ -35,6 +38,9 @@
     failure error;
 };
 
+/// Writes the error and the stage.
+std::ostream& operator<<(std::ostream& out, call_failure const& failed);
+
 using call_result = boost::system::result<http_response, call_failure>;
 
 struct http_client_limits
--- a/libs/transport/include/transport/http_message.hpp
+++ b/libs/transport/include/transport/http_message.hpp
@@ -29,7 +29,7 @@
 {
     std::string method = "GET";
     /// Path and query, percent-encoded.
-    std::string target;
+    std::string target = "/";
     http_fields fields;
     std::string body;
 };
--- /dev/null
+++ b/libs/transport/src/http_client.cpp
@@ -0,0 +1,321 @@
+#include <transport/http_client.hpp>
+
+#include "beast_types.hpp"
+
+#include <map>
+#include <netinet/tcp.h>
+#include <ostream>
+#include <vector>
+
+namespace masticshift::transport
+{
+
+namespace
+{
+
+using user_timeout =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
+struct connection
+{
+    explicit connection(asio::any_io_executor const& executor)
+        : stream(executor)
+    {
+    }
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    time_point idle_since;
+};
+
+using connection_ptr = std::unique_ptr<connection>;
+
+/// Connections to one address.
+struct pool
+{
+    /// Kept ones, the latest used last.
+    std::vector<connection_ptr> kept;
+    unsigned in_use = 0;
+
+    unsigned open() const
+    {
+        return in_use + static_cast<unsigned>(kept.size());
+    }
+};
+
+/// Counts a connection as in use for as long as the call lasts.
+class use_count
+{
+public:
+    explicit use_count(std::shared_ptr<pool> owner) : owner_(std::move(owner))
+    {
+        ++owner_->in_use;
+    }
+
+    ~use_count()
+    {
+        --owner_->in_use;
+    }
+
+    use_count(use_count const&) = delete;
+    use_count& operator=(use_count const&) = delete;
+
+private:
+    std::shared_ptr<pool> owner_;
+};
+
+/// Whether a kept connection has seen nothing since its last answer. Bytes or
+/// an end of stream mean that the server has given it up.
+bool is_quiet(connection& kept)
+{
+    auto& socket = kept.stream.socket();
+    char byte = 0;
+    beast::error_code error;
+    socket.non_blocking(true, error);
+    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return error == asio::error::would_block;
+}
+
+call_failure failed(call_stage stage, result_code code, std::string detail)
+{
+    return {stage, {code, std::move(detail)}};
+}
+
+result_code code_of(beast::error_code error)
+{
+    if (error == beast::error::timeout)
+        return result_code::deadline_passed;
+    if (error == http::error::body_limit)
+        return result_code::answer_too_large;
+    return result_code::io_error;
+}
+
+http::request<http::string_body> make_message(http_request request)
+{
+    http::request<http::string_body> message;
+    message.version(11);
+    message.method_string(request.method);
+    message.target(request.target);
+    for (auto const& field : request.fields.list)
+        message.set(field.name, field.value);
+    message.body() = std::move(request.body);
+    message.prepare_payload();
+    return message;
+}
+
+} // namespace
+
+std::string_view name_of(call_stage stage)
+{
+    switch (stage)
+    {
+    case call_stage::not_connected:
+        return "not connected";
+    case call_stage::not_written:
+        return "not written";
+    case call_stage::written:
+        break;
+    }
+    return "written";
+}
+
+std::ostream& operator<<(std::ostream& out, call_failure const& failed)
+{
+    return out << failed.error << " (" << name_of(failed.stage) << ")";
+}
+
+class http_client::impl
+{
+public:
+    impl(asio::any_io_executor executor, http_client_limits limits)
+        : executor_(std::move(executor)), limits_(limits)
+    {
+    }
+
+    static asio::awaitable<call_result>
+    call(std::shared_ptr<impl> self, std::string ip, std::uint16_t port,
+         http_request request, time_point deadline,
+         std::function<bool(time_point now)> still_wanted)
+    {
+        auto const shared_pool = self->pool_of(ip, port);
+        auto used = take_kept(*shared_pool, self->limits_.idle);
+        use_count const counted(shared_pool);
+        if (!used)
+        {
+            auto connected =
+                co_await self->connect(*shared_pool, ip, port, deadline);
+            if (!connected)
+                co_return connected.error();
+            used = std::move(*connected);
+        }
+        auto const now = steady_clock::now();
+        if (now >= deadline)
+            co_return failed(call_stage::not_written,
+                             result_code::deadline_passed, "no time left");
+        if (still_wanted && !still_wanted(now))
+            co_return failed(call_stage::not_written, result_code::cancelled,
+                             "no longer wanted");
+        request.fields.set("Host", ip + ":" + std::to_string(port));
+        auto result = co_await self->exchange(
+            *used, make_message(std::move(request)), deadline);
+        if (result && used->stream.socket().is_open())
+        {
+            used->idle_since = steady_clock::now();
+            shared_pool->kept.push_back(std::move(used));
+        }
+        co_return result;
+    }
+
+    unsigned connections(std::string const& ip, std::uint16_t port) const
+    {
+        auto const found = pools_.find({ip, port});
+        return found == pools_.end() ? 0 : found->second->open();
+    }
+
+    void close_idle(time_point now)
+    {
+        for (auto const& [address, shared_pool] : pools_)
+        {
+            std::erase_if(shared_pool->kept,
+                          [&](connection_ptr const& kept)
+                          {
+                              return now - kept->idle_since > limits_.idle;
+                          });
+        }
+    }
+
+private:
+    using address = std::pair<std::string, std::uint16_t>;
+
+    std::shared_ptr<pool> pool_of(std::string const& ip, std::uint16_t port)
+    {
+        auto& found = pools_[{ip, port}];
+        if (!found)
+            found = std::make_shared<pool>();
+        return found;
+    }
+
+    static connection_ptr take_kept(pool& from, duration max_idle)
+    {
+        auto const now = steady_clock::now();
+        while (!from.kept.empty())
+        {
+            auto latest = std::move(from.kept.back());
+            from.kept.pop_back();
+            if (now - latest->idle_since <= max_idle && is_quiet(*latest))
+                return latest;
+        }
+        return nullptr;
+    }
+
+    asio::awaitable<boost::system::result<connection_ptr, call_failure>>
+    connect(pool const& from, std::string const& ip, std::uint16_t port,
+            time_point deadline)
+    {
+        bool const bounded = limits_.max_connections != 0;
+        // The caller's own use is already counted.
+        if (bounded && from.open() > limits_.max_connections)
+            co_return failed(call_stage::not_connected,
+                             result_code::too_many_connections,
+                             "all connections are in use");
+        beast::error_code error;
+        tcp::endpoint const target(asio::ip::make_address(ip, error), port);
+        if (error)
+            co_return failed(call_stage::not_connected, result_code::io_error,
+                             error.message());
+        auto made = std::make_unique<connection>(executor_);
+        made->stream.expires_at(
+            std::min(deadline, steady_clock::now() + limits_.connect));
+        auto [connect_error] =
+            co_await made->stream.async_connect(target, as_values);
+        if (connect_error)
+            co_return failed(call_stage::not_connected, result_code::io_error,
+                             connect_error.message());
+        set_options(made->stream.socket());
+        co_return made;
+    }
+
+    void set_options(tcp::socket& socket) const
+    {
+        beast::error_code ignored;
+        socket.set_option(tcp::no_delay(true), ignored);
+        auto const timeout = static_cast<int>(limits_.unacknowledged.count());
+        socket.set_option(user_timeout(timeout), ignored);
+    }
+
+    asio::awaitable<call_result>
+    exchange(connection& used, http::request<http::string_body> message,
+             time_point deadline)
+    {
+        used.stream.expires_at(deadline);
+        auto [write_error, sent] =
+            co_await http::async_write(used.stream, message, as_values);
+        if (write_error)
+        {
+            auto const stage =
+                sent == 0 ? call_stage::not_written : call_stage::written;
+            co_return failed(stage, code_of(write_error),
+                             "while sending: " + write_error.message());
+        }
+        http::response_parser<http::string_body> parser;
+        parser.body_limit(limits_.max_body_bytes);
+        parser.header_limit(
+            static_cast<std::uint32_t>(limits_.max_header_bytes));
+        auto [read_error, received] = co_await http::async_read(
+            used.stream, used.buffer, parser, as_values);
+        if (read_error)
+            co_return failed(call_stage::written, code_of(read_error),
+                             "while waiting for the answer: " +
+                                 read_error.message());
+        co_return take_response(used, parser);
+    }
+
+    static http_response
+    take_response(connection& used,
+                  http::response_parser<http::string_body>& parser)
+    {
+        bool const keep = parser.keep_alive() && used.buffer.size() == 0;
+        auto message = parser.release();
+        http_response response;
+        response.status = message.result_int();
+        response.fields = copy_fields(message);
+        response.body = std::move(message.body());
+        if (!keep)
+            used.stream.close();
+        return response;
+    }
+
+    asio::any_io_executor executor_;
+    http_client_limits limits_;
+    std::map<address, std::shared_ptr<pool>> pools_;
+};
+
+http_client::http_client(asio::any_io_executor executor,
+                         http_client_limits limits)
+    : impl_(std::make_shared<impl>(std::move(executor), limits))
+{
+}
+
+http_client::~http_client() = default;
+
+asio::awaitable<call_result>
+http_client::call(std::string ip, std::uint16_t port, http_request request,
+                  time_point deadline,
+                  std::function<bool(time_point now)> still_wanted)
+{
+    return impl::call(impl_, std::move(ip), port, std::move(request), deadline,
+                      std::move(still_wanted));
+}
+
+unsigned http_client::connections(std::string const& ip,
+                                  std::uint16_t port) const
+{
+    return impl_->connections(ip, port);
+}
+
+void http_client::close_idle(time_point now)
+{
+    impl_->close_idle(now);
+}
+
+} // namespace masticshift::transport
--- /dev/null
+++ b/libs/transport/tests/http_test.cpp
@@ -0,0 +1,237 @@
+#include <transport/http_client.hpp>
+#include <transport/http_server.hpp>
+
+#include <boost/asio.hpp>
+#include <doctest/doctest.h>
+
+using namespace masticshift;
+using namespace masticshift::transport;
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+namespace
+{
+
+constexpr auto loopback = "127.0.0.1";
+constexpr milliseconds patience{20'000};
+
+/// A named request: this compiler destroys an unnamed `{}` argument of an
+/// awaited call twice.
+http_request const plain;
+
+http_response error_answer(failure const& error)
+{
+    http_response answer;
+    answer.status = info_of(error.code).http_status;
+    answer.body = name_of(error.code);
+    return answer;
+}
+
+asio::awaitable<std::optional<http_response>> echo(http_request request)
+{
+    http_response answer;
+    answer.body = request.method + " " + request.target + " " + request.body;
+    co_return answer;
+}
+
+asio::awaitable<std::optional<http_response>> hang_up(http_request)
+{
+    co_return std::nullopt;
+}
+
+struct fixture
+{
+    asio::io_context context;
+    http_server_limits limits;
+
+    template <class Body>
+    void run(Body body)
+    {
+        std::exception_ptr problem;
+        asio::co_spawn(context, body,
+                       [&](std::exception_ptr thrown)
+                       {
+                           problem = thrown;
+                           context.stop();
+                       });
+        context.run_for(patience);
+        if (problem)
+            std::rethrow_exception(problem);
+    }
+
+    asio::awaitable<call_result> call(http_client& client, std::uint16_t port,
+                                      http_request request)
+    {
+        return client.call(loopback, port, std::move(request),
+                           steady_clock::now() + patience);
+    }
+};
+
+/// Sends bytes as they are and reads until the server closes.
+asio::awaitable<std::string> send_raw(std::uint16_t port, std::string bytes)
+{
+    tcp::socket socket(co_await asio::this_coro::executor);
+    co_await socket.async_connect({asio::ip::make_address(loopback), port},
+                                  asio::use_awaitable);
+    co_await asio::async_write(socket, asio::buffer(bytes),
+                               asio::use_awaitable);
+    std::string received;
+    co_await asio::async_read(socket, asio::dynamic_buffer(received),
+                              asio::as_tuple(asio::use_awaitable));
+    co_return received;
+}
+
+} // namespace
+
+TEST_CASE("a request is answered and its connection is used again")
+{
+    fixture f;
+    http_server server(f.context.get_executor(), f.limits, echo, error_answer);
+    REQUIRE(server.listen(loopback, 0));
+    http_client client(f.context.get_executor(), {});
+    f.run(
+        [&]() -> asio::awaitable<void>
+        {
+            for (int i = 0; i < 3; ++i)
+            {
+                http_request request;
+                request.method = "POST";
+                request.target = "/a";
+                request.body = std::to_string(i);
+                auto const result =
+                    co_await f.call(client, server.port(), request);
+                REQUIRE(result.has_value());
+                CHECK(result->body == "POST /a " + std::to_string(i));
+            }
+            CHECK(server.connections() == 1);
+            CHECK(client.connections(loopback, server.port()) == 1);
+        });
+}
+
+TEST_CASE("a refused connection is told apart from a lost answer")
+{
+    fixture f;
+    http_server server(f.context.get_executor(), f.limits, hang_up,
+                       error_answer);
+    REQUIRE(server.listen(loopback, 0));
+    auto const port = server.port();
+    http_client client(f.context.get_executor(), {});
+    f.run(
+        [&]() -> asio::awaitable<void>
+        {
+            auto const lost = co_await f.call(client, port, plain);
+            REQUIRE_FALSE(lost.has_value());
+            CHECK(lost.error().stage == call_stage::written);
+            server.stop();
+            auto const refused = co_await f.call(client, port, plain);
+            REQUIRE_FALSE(refused.has_value());
+            CHECK(refused.error().stage == call_stage::not_connected);
+        });
+}
+
+TEST_CASE("a call that is no longer wanted is not written")
+{
+    fixture f;
+    int served = 0;
+    auto const count = [&](http_request request)
+    {
+        ++served;
+        return echo(std::move(request));
+    };
+    http_server server(f.context.get_executor(), f.limits, count, error_answer);
+    REQUIRE(server.listen(loopback, 0));
+    http_client client(f.context.get_executor(), {});
+    f.run(
+        [&]() -> asio::awaitable<void>
+        {
+            auto const unwanted = [](time_point)
+            {
+                return false;
+            };
+            auto const result =
+                co_await client.call(loopback, server.port(), plain,
+                                     steady_clock::now() + patience, unwanted);
+            REQUIRE_FALSE(result.has_value());
+            CHECK(result.error().stage == call_stage::not_written);
+            auto const late = co_await client.call(loopback, server.port(),
+                                                   plain, steady_clock::now());
+            REQUIRE_FALSE(late.has_value());
+            CHECK(late.error().stage != call_stage::written);
+        });
+    CHECK(served == 0);
+}
+
+TEST_CASE("bad requests get numbered errors and harm nobody else")
+{
+    fixture f;
+    f.limits.max_body_bytes = 100;
+    f.limits.max_header_bytes = 1'000;
+    f.limits.request_read = milliseconds(200);
+    http_server server(f.context.get_executor(), f.limits, echo, error_answer);
+    REQUIRE(server.listen(loopback, 0));
+    http_client client(f.context.get_executor(), {});
+    f.run(
+        [&]() -> asio::awaitable<void>
+        {
+            auto const port = server.port();
+            auto answer = co_await send_raw(port, "nonsense\r\n\r\n");
+            CHECK(answer.find("malformed_request") != std::string::npos);
+            answer = co_await send_raw(
+                port, "POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n" +
+                          std::string(101, 'x'));
+            CHECK(answer.find("body_too_large") != std::string::npos);
+            answer = co_await send_raw(port, "GET / HTTP/1.1\r\nA: " +
+                                                 std::string(2'000, 'x'));
+            CHECK(answer.find("header_too_large") != std::string::npos);
+            answer = co_await send_raw(
+                port, "POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nhalf");
+            CHECK(answer.find("request_timeout") != std::string::npos);
+            auto const good = co_await f.call(client, port, plain);
+            CHECK(good.has_value());
+        });
+}
+
+TEST_CASE("connections over the limit are refused with a number")
+{
+    fixture f;
+    f.limits.max_connections = 1;
+    http_server server(f.context.get_executor(), f.limits, echo, error_answer);
+    REQUIRE(server.listen(loopback, 0));
+    http_client client(f.context.get_executor(), {});
+    f.run(
+        [&]() -> asio::awaitable<void>
+        {
+            auto const first = co_await f.call(client, server.port(), plain);
+            CHECK(first.has_value());
+            auto const answer =
+                co_await send_raw(server.port(), "GET / HTTP/1.1\r\n\r\n");
+            CHECK(answer.find("too_many_connections") != std::string::npos);
+        });
+}
+
+TEST_CASE("a graceful close answers what is being handled")
+{
+    fixture f;
+    http_server* running = nullptr;
+    auto const closing = [&](http_request request)
+        -> asio::awaitable<std::optional<http_response>>
+    {
+        running->close_gracefully();
+        co_return co_await echo(std::move(request));
+    };
+    http_server server(f.context.get_executor(), f.limits, closing,
+                       error_answer);
+    running = &server;
+    REQUIRE(server.listen(loopback, 0));
+    http_client client(f.context.get_executor(), {});
+    f.run(
+        [&]() -> asio::awaitable<void>
+        {
+            auto const port = server.port();
+            auto const answered = co_await f.call(client, port, plain);
+            REQUIRE(answered.has_value());
+            CHECK(answered->fields["Connection"] == "close");
+            auto const refused = co_await f.call(client, port, plain);
+            CHECK_FALSE(refused.has_value());
+        });
+}
