--- /dev/null
+++ b/libs/homes/include/homes/inherited_tables.hpp
@@ -0,0 +1,128 @@
+#ifndef MASTICSHIFT_HOMES_INHERITED_TABLES_HPP
+#define MASTICSHIFT_HOMES_INHERITED_TABLES_HPP
+
+#include <homes/admission_decision.hpp>
+#include <homes/body_digest.hpp>
+#include <homes/handover.hpp>
+#include <homes/submission_id.hpp>
+
+#include <core/outcome.hpp>
+#include <core/time.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace masticshift::homes
+{
+
+struct inherited_tables_options
+{
+    /// Time that a table is kept after its first part came.
+    milliseconds retention{600'000};
+    /// Limits over all tables together.
+    std::size_t max_tables = 64;
+    std::size_t max_ids = 400'000;
+    std::size_t max_answer_bytes = 48 << 20;
+};
+
+struct inherited_statistics
+{
+    std::size_t tables = 0;
+    std::size_t incomplete_tables = 0;
+    std::size_t ids = 0;
+    std::size_t answer_bytes = 0;
+};
+
+/// The tables of stopped processes that this one answers for.
+///
+/// Nothing ever starts from here. The stopped process closed its admission
+/// before it gave the table away, so an id that is not in a complete table did
+/// not run. Parts may come twice, in any order and from several senders: the
+/// records of a stopped process are the same wherever they come from, so a
+/// table is complete when its last part came and it has as many as its header
+/// says.
+class inherited_tables
+{
+public:
+    /// `self` is this process, whose own table can't be inherited.
+    inherited_tables(process_name self, inherited_tables_options options);
+
+    /// Takes a part. Failures, after which the sender tries another successor
+    /// or sends all parts again:
+    ///
+    /// - `overloaded`: a limit is hit; what came of this table is dropped
+    /// - `peer_protocol`: the part contradicts its header or an earlier part,
+    ///   or it is the last and others are missing
+    outcome<void> accept(handover_part const& part, time_point now);
+
+    /// Whether the whole table of this process is here.
+    bool holds(process_name const& process) const;
+
+    /// What a copy of a submission is answered, `answered` or `refused`:
+    ///
+    /// - `id_reused`, `id_expired` as in `submission_table::admit`
+    /// - `draining`, `not_run`: the id never ran and never will
+    /// - `outcome_unknown`: the table of its home is not held here
+    admission_decision find(submission_id const& id,
+                            body_digest const& digest) const;
+
+    /// As above for a caller that fetches an answer; `unknown_id`, `not_run`
+    /// when the id is not in the table.
+    admission_decision find(submission_id const& id) const;
+
+    /// Drops tables whose retention has passed.
+    void expire(time_point now);
+
+    /// Processes whose whole table is here, to be announced to the peers.
+    std::vector<process_name> processes() const;
+
+    /// The complete tables, for the successor of this process.
+    std::vector<handover_table> export_tables() const;
+
+    inherited_statistics statistics() const;
+
+private:
+    struct entry
+    {
+        body_digest digest;
+        answer_ptr answer;
+    };
+
+    /// By nonce.
+    using generation = std::unordered_map<std::string, entry>;
+
+    struct table
+    {
+        handover_header header;
+        time_point first_part;
+        bool last_seen = false;
+        std::size_t ids = 0;
+        std::size_t answer_bytes = 0;
+        std::map<std::uint32_t, generation> generations;
+    };
+
+    static bool is_complete(table const& held);
+    static entry const* find_entry(table const& held, submission_id const& id);
+    static outcome<void> check_against(table const& held,
+                                       handover_part const& part);
+    static void insert(table& held, handover_part const& part);
+    static admission_decision
+    refuse_absent(table const& held, submission_id const& id, result_code code);
+    static handover_table export_table(table const& held);
+
+    table const* find_table(submission_id const& id) const;
+    table* find_or_begin(handover_header const& header, time_point now);
+    bool has_room_for(handover_header const& header) const;
+
+    process_name self_;
+    inherited_tables_options options_;
+    std::map<process_name, table> tables_;
+};
+
+} // namespace masticshift::homes
+
+#endif
