Place tasks on owned, borrowed and healthy slots

Cause: the daemon needs a working engine behind the public interface. Slots belong to entries by weighted rendezvous hash, free slots are kept as a bitmap per service in the order of learned speed, so that no task scans all endpoints. Time-dependent changes (loans, pauses) go through one heap of wake-ups per endpoint instead of a timer each.

Ruled out: a health record per endpoint over all services, since one service may fail where another works.

Not yet measured.

--- a/libs/placement/include/placement/endpoint_health.hpp
+++ b/libs/placement/include/placement/endpoint_health.hpp
@@ -39,8 +39,8 @@
     void record(task_result result, std::uint64_t job, failure_totals& totals,
                 time_point now);
 
-    /// Takes this endpoint out of the totals, before it goes away.
-    void leave(failure_totals& totals);
+    /// Adds this endpoint to the totals of another form of the service.
+    void join(failure_totals& totals) const;
 
     /// Tasks of the service that may run there at the same time.
     unsigned limit(time_point now) const;
--- /dev/null
+++ b/libs/placement/include/placement/job_queue.hpp
@@ -0,0 +1,106 @@
+#ifndef MASTICSHIFT_PLACEMENT_JOB_QUEUE_HPP
+#define MASTICSHIFT_PLACEMENT_JOB_QUEUE_HPP
+
+#include <placement/policy.hpp>
+
+#include <core/time.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <set>
+#include <utility>
+
+namespace masticshift::placement
+{
+
+/// Jobs that wait for slots, the most urgent first.
+///
+/// With least remaining work first, a second of waiting makes up for a number
+/// of seconds of work. A job therefore waits for at most a bounded amount of
+/// jobs that arrive after it.
+template <class Job>
+class job_queue
+{
+public:
+    struct entry
+    {
+        double key = 0;
+        std::uint64_t sequence = 0;
+        Job* job = nullptr;
+
+        friend bool operator<(entry const& a, entry const& b)
+        {
+            if (a.key != b.key)
+                return a.key < b.key;
+            return a.sequence < b.sequence;
+        }
+    };
+
+    using position = typename std::set<entry>::iterator;
+
+    /// `ageing` is the work, in seconds, that a second of waiting makes up
+    /// for.
+    job_queue(job_order order, double ageing) : order_(order), ageing_(ageing)
+    {
+    }
+
+    /// Adds a job. `sequence` is that of its admission, also when it comes
+    /// back.
+    position insert(Job& job, double remaining_seconds, time_point admitted,
+                    std::uint64_t sequence)
+    {
+        return entries_
+            .insert({key_of(remaining_seconds, admitted), sequence, &job})
+            .first;
+    }
+
+    /// Moves a job after its remaining work has changed.
+    position update(position at, double remaining_seconds, time_point admitted)
+    {
+        auto const hint = std::next(at);
+        auto node = entries_.extract(at);
+        node.value().key = key_of(remaining_seconds, admitted);
+        return entries_.insert(hint, std::move(node));
+    }
+
+    void erase(position at)
+    {
+        entries_.erase(at);
+    }
+
+    /// Where a job would stand.
+    double key_of(double remaining_seconds, time_point admitted) const
+    {
+        if (order_ == job_order::fifo)
+            return 0;
+        using seconds = std::chrono::duration<double>;
+        auto const since_epoch = seconds(admitted.time_since_epoch()).count();
+        return remaining_seconds + ageing_ * since_epoch;
+    }
+
+    bool empty() const
+    {
+        return entries_.empty();
+    }
+    std::size_t size() const
+    {
+        return entries_.size();
+    }
+    auto begin() const
+    {
+        return entries_.begin();
+    }
+    auto end() const
+    {
+        return entries_.end();
+    }
+
+private:
+    job_order order_;
+    double ageing_;
+    std::set<entry> entries_;
+};
+
+} // namespace masticshift::placement
+
+#endif
--- a/libs/placement/src/endpoint_health.cpp
+++ b/libs/placement/src/endpoint_health.cpp
@@ -43,8 +43,8 @@
 
 duration doubled(duration first, duration longest, unsigned times)
 {
-    auto const factor = 1LL << std::min(times, max_doublings);
-    return std::min(first * factor, longest);
+    duration::rep const factor = 1LL << std::min(times, max_doublings);
+    return std::min<duration>(first * factor, longest);
 }
 
 template <class Number>
@@ -192,12 +192,12 @@
     ejections_ = static_cast<std::uint16_t>(ejections_ / 2);
 }
 
-void endpoint_health::leave(failure_totals& totals)
+void endpoint_health::join(failure_totals& totals) const
 {
-    totals.results -= results_;
-    totals.bad -= bad_;
+    totals.results += results_;
+    totals.bad += bad_;
     if (ejected_)
-        --totals.ejected;
+        ++totals.ejected;
 }
 
 unsigned endpoint_health::limit(time_point now) const
--- /dev/null
+++ b/libs/placement/src/fleet.hpp
@@ -0,0 +1,91 @@
+#ifndef MASTICSHIFT_PLACEMENT_FLEET_HPP
+#define MASTICSHIFT_PLACEMENT_FLEET_HPP
+
+#include "endpoint_state.hpp"
+#include "service_state.hpp"
+
+#include <placement/endpoint_index.hpp>
+#include <placement/engine_settings.hpp>
+#include <placement/slot_ownership.hpp>
+
+#include <config/service_text.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace masticshift::placement
+{
+
+/// All endpoints and services, and what makes slots startable as time passes.
+class fleet
+{
+public:
+    fleet(engine_settings const& settings, job_order order);
+
+    void configure(config::service_text const& text, time_point now);
+    void set_entries(std::vector<entry_share> entries, time_point now);
+    void set_leaving(std::vector<std::string> const& addresses, time_point now);
+
+    /// Brings all that depends on time up to `now`.
+    void wake(time_point now);
+    std::optional<time_point> next_wake() const;
+
+    /// To be called after any change to an endpoint or its health.
+    void refresh(endpoint_state& endpoint, time_point now);
+
+    /// The service as it is configured now.
+    service_state* find(std::string_view name) const;
+    endpoint_state* find_endpoint(std::string_view name) const;
+
+    /// Drops a retired service after its last job.
+    void drop_if_unused(service_state& service);
+
+    /// Retired ones included.
+    std::vector<std::unique_ptr<service_state>> const& services() const
+    {
+        return services_;
+    }
+
+private:
+    struct wake_up
+    {
+        time_point at;
+        endpoint_id id = 0;
+
+        friend bool operator>(wake_up const& a, wake_up const& b)
+        {
+            return a.at > b.at;
+        }
+    };
+
+    void configure_endpoint(config::endpoint_config const& config);
+    void configure_service(config::service_config const& config,
+                           time_point now);
+    std::vector<endpoint_state*>
+    endpoints_for(config::service_config const& config) const;
+    void retire(service_state& service);
+    void drop_unused_services();
+    void drop_unused_endpoints();
+    void assign_owners(endpoint_state& endpoint);
+    void refresh_all(time_point now);
+    void schedule(endpoint_state& endpoint, time_point at);
+
+    engine_settings const& settings_;
+    job_order order_;
+    endpoint_index index_;
+    slot_ownership ownership_;
+    std::vector<std::unique_ptr<endpoint_state>> endpoints_;
+    std::vector<std::unique_ptr<service_state>> services_;
+    std::set<std::string, std::less<>> leaving_;
+    std::priority_queue<wake_up, std::vector<wake_up>, std::greater<>> wakes_;
+};
+
+} // namespace masticshift::placement
+
+#endif
--- /dev/null
+++ b/libs/placement/src/loan_book.hpp
@@ -0,0 +1,64 @@
+#ifndef MASTICSHIFT_PLACEMENT_LOAN_BOOK_HPP
+#define MASTICSHIFT_PLACEMENT_LOAN_BOOK_HPP
+
+#include "borrow_pacing.hpp"
+#include "fleet.hpp"
+
+#include <placement/endpoint_index.hpp>
+#include <placement/peer.hpp>
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace masticshift::placement
+{
+
+/// Slots lent to other entries and borrowed from them.
+class loan_book
+{
+public:
+    loan_book(fleet& all, engine_settings const& settings);
+
+    std::vector<loan> lend(service_state& service, unsigned count,
+                           std::uint32_t borrower, time_point now);
+    void take_back(std::uint32_t borrower, std::vector<loan> const& loans,
+                   time_point now);
+
+    /// `since` is when the loans began at the earliest.
+    void borrow(std::string_view lender, std::vector<loan> const& loans,
+                time_point since, time_point now);
+
+    /// Takes unused loans for return, of lenders that can use them.
+    std::vector<give_back> surplus(borrow_pacing const& lenders,
+                                   time_point now);
+
+    /// Slots that the service could lend now.
+    unsigned idle_slots(service_state const& service) const;
+
+    /// Borrowed slots, also those in use.
+    std::size_t borrowed(time_point now) const;
+
+private:
+    struct borrowed_slot
+    {
+        std::string endpoint;
+        std::string lender;
+        unsigned slot = 0;
+        time_point until;
+    };
+
+    duration loan_length(service_state const& service,
+                         member_state const& member) const;
+    slot_state* find_slot(std::string_view endpoint, unsigned slot) const;
+    bool worth_returning(borrowed_slot const& loan, time_point now) const;
+    void forget_ended(time_point now);
+
+    fleet& all_;
+    engine_settings const& settings_;
+    std::vector<borrowed_slot> borrowed_;
+};
+
+} // namespace masticshift::placement
+
+#endif
--- /dev/null
+++ b/libs/placement/src/service_state.cpp
@@ -0,0 +1,230 @@
+#include "service_state.hpp"
+
+#include "seconds.hpp"
+#include "stable_hash.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <numeric>
+#include <utility>
+
+namespace masticshift::placement
+{
+
+namespace
+{
+
+// Classes of speed are half an octave wide.
+constexpr double classes_per_octave = 2;
+constexpr double middle_class = 8;
+// An endpoint is clearly faster from this factor on.
+constexpr double clearly_faster = 1.25;
+// Endpoints are put in order after so many results, or a part of their
+// number.
+constexpr std::uint32_t min_results_to_reorder = 32;
+constexpr std::size_t endpoints_per_result = 4;
+
+} // namespace
+
+service_state::service_state(config::service_config config_,
+                             std::vector<endpoint_state*> const& endpoints,
+                             job_order order, engine_settings const& settings)
+    : config(std::move(config_)),
+      by_rank(endpoints.size()),
+      queue(order, settings.ageing),
+      model(config.run_time),
+      startable_(endpoints.size())
+{
+    auto const own_seed = stable_hash(settings.address);
+    for (auto* endpoint : endpoints)
+    {
+        auto const seed = stable_hash(endpoint->config.name, own_seed);
+        members.push_back({endpoint, {}, endpoint_health(seed)});
+    }
+    failures.endpoints = static_cast<unsigned>(members.size());
+    failures.max_ejected_part = settings.max_ejected_part;
+    std::iota(by_rank.begin(), by_rank.end(), 0U);
+}
+
+void service_state::inherit(service_state const& earlier)
+{
+    model = earlier.model;
+    for (auto const& known : earlier.members)
+    {
+        auto const same =
+            std::ranges::find(members, known.endpoint, &member_state::endpoint);
+        if (same == members.end())
+            continue;
+        same->speed = known.speed;
+        same->health = known.health;
+        same->health.join(failures);
+    }
+}
+
+void service_state::refresh(std::uint32_t index, time_point now)
+{
+    auto const& member = members[index];
+    auto const& endpoint = *member.endpoint;
+    bool const on = endpoint.startable > 0 && !endpoint.leaving &&
+                    member.running < member.health.limit(now);
+    startable_.assign(member.rank, on);
+}
+
+std::optional<slot_choice> service_state::fastest(double work,
+                                                  time_point now) const
+{
+    for (auto rank = startable_.next(0); rank != rank_bitmap::none;
+         rank = startable_.next(rank + 1))
+    {
+        auto const index = by_rank[rank];
+        auto const& member = members[index];
+        double const speed = member.speed.value();
+        auto const length = from_seconds(work / speed);
+        if (auto const slot = member.endpoint->pick_slot(length, now))
+            return slot_choice{index, *slot, speed};
+    }
+    return std::nullopt;
+}
+
+double service_state::end_when_waiting(double work, double speed) const
+{
+    double busy = 0;
+    double busy_speed = 0;
+    for (std::size_t i = 0; i < speed_classes; ++i)
+    {
+        if (speed_of(i) < speed * clearly_faster)
+            continue;
+        busy += busy_[i];
+        busy_speed += busy_[i] * speed_of(i);
+    }
+    if (busy == 0)
+        return std::numeric_limits<double>::infinity();
+    // Slots come free at this rate when run times are memoryless.
+    double const rate = busy_speed / model.mean();
+    double const wait = static_cast<double>(queued_tasks) / rate;
+    return wait + work * busy / busy_speed;
+}
+
+void service_state::started(std::uint32_t index)
+{
+    auto& member = members[index];
+    ++member.running;
+    ++running_tasks;
+    ++busy_[member.speed_class];
+}
+
+void service_state::ended(std::uint32_t index)
+{
+    auto& member = members[index];
+    --member.running;
+    --running_tasks;
+    --busy_[member.speed_class];
+}
+
+void service_state::learn(std::uint32_t index, float log_size, duration took)
+{
+    auto& speed = members[index].speed;
+    double const seconds = to_seconds(took) * speed.value();
+    double const residual = model.learn(log_size, seconds);
+    speed.learn(residual);
+    ++learned_;
+}
+
+bool service_state::reorder_if_due(time_point now)
+{
+    auto const due = std::max<std::size_t>(
+        min_results_to_reorder, members.size() / endpoints_per_result);
+    if (learned_ < due)
+        return false;
+    reorder(now);
+    return true;
+}
+
+void service_state::reorder(time_point now)
+{
+    learned_ = 0;
+    normalise_speeds();
+    std::ranges::stable_sort(by_rank, std::greater{},
+                             [this](auto i)
+                             {
+                                 return members[i].speed.value();
+                             });
+    busy_.fill(0);
+    for (std::uint32_t rank = 0; rank < by_rank.size(); ++rank)
+    {
+        auto& member = members[by_rank[rank]];
+        member.rank = rank;
+        member.speed_class = class_of(member.speed.value());
+        busy_[member.speed_class] += member.running;
+    }
+    for (std::uint32_t i = 0; i < members.size(); ++i)
+        refresh(i, now);
+}
+
+// Speeds and run times are known only up to a common factor.
+void service_state::normalise_speeds()
+{
+    if (members.empty())
+        return;
+    double sum = 0;
+    for (auto const& member : members)
+        sum += std::log(member.speed.value());
+    double const factor = std::exp(sum / static_cast<double>(members.size()));
+    for (auto& member : members)
+        member.speed.rescale(1 / factor);
+    model.rescale(1 / factor);
+}
+
+std::uint8_t service_state::class_of(double speed)
+{
+    double const step = std::log2(speed) * classes_per_octave + middle_class;
+    double const last = speed_classes - 1;
+    return static_cast<std::uint8_t>(std::clamp(std::round(step), 0.0, last));
+}
+
+double service_state::speed_of(std::size_t speed_class)
+{
+    auto const step = static_cast<double>(speed_class) - middle_class;
+    return std::exp2(step / classes_per_octave);
+}
+
+double service_state::best_speed(time_point now) const
+{
+    for (auto const index : by_rank)
+    {
+        auto const& member = members[index];
+        if (!member.endpoint->leaving && member.health.usable(now))
+            return member.speed.value();
+    }
+    return 1;
+}
+
+bool service_state::usable(time_point now) const
+{
+    return std::ranges::any_of(members,
+                               [now](member_state const& member)
+                               {
+                                   return !member.endpoint->leaving &&
+                                          member.health.usable(now);
+                               });
+}
+
+double service_state::owned_capacity() const
+{
+    double sum = 0;
+    for (auto const& member : members)
+    {
+        if (member.endpoint->leaving)
+            continue;
+        auto const owned = std::ranges::count_if(member.endpoint->slots,
+                                                 [](auto const& slot)
+                                                 {
+                                                     return slot.owned;
+                                                 });
+        sum += static_cast<double>(owned) * member.speed.value();
+    }
+    return sum;
+}
+
+} // namespace masticshift::placement
