Let callers of the HTTP client decide before the write and about the answer

Cause: an answer that names another task has to close its connection before the connection is kept for the next task.

--- a/libs/transport/include/transport/http_client.hpp
+++ b/libs/transport/include/transport/http_client.hpp
@@ -56,6 +56,16 @@
     unsigned max_connections = 0;
 };
 
+/// What a caller of the client may decide during a call. Both are optional.
+struct call_checks
+{
+    /// Asked immediately before the first byte is written. False: the call
+    /// fails as `cancelled`, not written.
+    std::function<bool(time_point now)> still_wanted;
+    /// Asked about the answer. False: its connection is closed, not kept.
+    std::function<bool(http_response const&)> trusts;
+};
+
 /// An HTTP/1.1 client that keeps connections per address.
 ///
 /// All members are called on the executor's thread.
@@ -70,12 +80,11 @@
     http_client& operator=(http_client const&) = delete;
 
     /// Sends one request and waits for its whole answer until `deadline`.
-    /// Never sends the same request twice. `still_wanted`, when given, is
-    /// asked immediately before the first byte is written.
-    boost::asio::awaitable<call_result>
-    call(std::string ip, std::uint16_t port, http_request request,
-         time_point deadline,
-         std::function<bool(time_point now)> still_wanted = {});
+    /// Never sends the same request twice.
+    boost::asio::awaitable<call_result> call(std::string ip, std::uint16_t port,
+                                             http_request request,
+                                             time_point deadline,
+                                             call_checks checks = {});
 
     /// Connections that are open to an address, in use or kept.
     unsigned connections(std::string const& ip, std::uint16_t port) const;
--- a/libs/transport/src/http_client.cpp
+++ b/libs/transport/src/http_client.cpp
@@ -134,8 +134,7 @@
 
     static asio::awaitable<call_result>
     call(std::shared_ptr<impl> self, std::string ip, std::uint16_t port,
-         http_request request, time_point deadline,
-         std::function<bool(time_point now)> still_wanted)
+         http_request request, time_point deadline, call_checks checks)
     {
         auto const shared_pool = self->pool_of(ip, port);
         auto used = take_kept(*shared_pool, self->limits_.idle);
@@ -152,12 +151,14 @@
         if (now >= deadline)
             co_return failed(call_stage::not_written,
                              result_code::deadline_passed, "no time left");
-        if (still_wanted && !still_wanted(now))
+        if (checks.still_wanted && !checks.still_wanted(now))
             co_return failed(call_stage::not_written, result_code::cancelled,
                              "no longer wanted");
         request.fields.set("Host", ip + ":" + std::to_string(port));
         auto result = co_await self->exchange(
             *used, make_message(std::move(request)), deadline);
+        if (result && checks.trusts && !checks.trusts(*result))
+            used->stream.close();
         if (result && used->stream.socket().is_open())
         {
             used->idle_since = steady_clock::now();
@@ -300,11 +301,10 @@
 
 asio::awaitable<call_result>
 http_client::call(std::string ip, std::uint16_t port, http_request request,
-                  time_point deadline,
-                  std::function<bool(time_point now)> still_wanted)
+                  time_point deadline, call_checks checks)
 {
     return impl::call(impl_, std::move(ip), port, std::move(request), deadline,
-                      std::move(still_wanted));
+                      std::move(checks));
 }
 
 unsigned http_client::connections(std::string const& ip,
--- a/libs/transport/tests/http_test.cpp
+++ b/libs/transport/tests/http_test.cpp
@@ -144,7 +144,8 @@
     f.run(
         [&]() -> asio::awaitable<void>
         {
-            auto const unwanted = [](time_point)
+            call_checks unwanted;
+            unwanted.still_wanted = [](time_point)
             {
                 return false;
             };
