Keep the configuration on the platform's table

Cause: operators race each other, and the platform's answer can be lost after the write has taken effect.

`apply` writes revision N+1 under both keys in one transaction that checks the version of the configuration key. Repeating the transaction is safe, as its check holds once at most. Where the record no longer tells, or where a write may still arrive, the answer is write_unsettled.

Ruled out: a read back that compares the last change id alone; it calls an applied change lost when another operator was faster than the read.

--- /dev/null
+++ b/libs/platform/include/platform/http_platform.hpp
@@ -0,0 +1,44 @@
+#ifndef MASTICSHIFT_PLATFORM_HTTP_PLATFORM_HPP
+#define MASTICSHIFT_PLATFORM_HTTP_PLATFORM_HPP
+
+#include <config/daemon_settings.hpp>
+#include <core/outcome.hpp>
+#include <core/time.hpp>
+#include <platform/platform_client.hpp>
+#include <platform/table.hpp>
+#include <platform/vm_list.hpp>
+#include <transport/http_client.hpp>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <string>
+
+namespace masticshift::platform
+{
+
+/// A `platform_client` that speaks the HTTP protocol of docs/PLATFORM.md.
+class http_platform
+{
+public:
+    /// The client must outlive this. Each call has `timeout`.
+    http_platform(transport::http_client& client,
+                  config::socket_address address, milliseconds timeout);
+
+    boost::asio::awaitable<outcome<table_entry>> read(table_key key);
+    boost::asio::awaitable<commit_answer> commit(transaction write);
+    boost::asio::awaitable<outcome<vm_list>> read_vms();
+
+private:
+    boost::asio::awaitable<transport::call_result>
+    call(transport::http_request request);
+
+    transport::http_client& client_;
+    config::socket_address address_;
+    milliseconds timeout_;
+};
+
+static_assert(platform_client<http_platform>);
+
+} // namespace masticshift::platform
+
+#endif
--- /dev/null
+++ b/libs/platform/include/platform/platform_client.hpp
@@ -0,0 +1,45 @@
+#ifndef MASTICSHIFT_PLATFORM_PLATFORM_CLIENT_HPP
+#define MASTICSHIFT_PLATFORM_PLATFORM_CLIENT_HPP
+
+#include <core/outcome.hpp>
+#include <core/time.hpp>
+#include <platform/table.hpp>
+#include <platform/vm_list.hpp>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <concepts>
+
+namespace masticshift::platform
+{
+
+/// Access to the platform's services. `read` fails with
+/// `platform_unavailable`, `platform_timeout` or `platform_bad_answer`; it
+/// gives version 0 for an absent key.
+template <class Client>
+concept platform_client = requires(Client& client, table_key key,
+                                   transaction write)
+{
+    {
+        client.read(key)
+        } -> std::same_as<boost::asio::awaitable<outcome<table_entry>>>;
+    {
+        client.commit(write)
+        } -> std::same_as<boost::asio::awaitable<commit_answer>>;
+    {
+        client.read_vms()
+        } -> std::same_as<boost::asio::awaitable<outcome<vm_list>>>;
+};
+
+/// Lets time pass between two attempts.
+template <class Wait>
+concept waiter = requires(Wait& wait, milliseconds length)
+{
+    {
+        wait(length)
+        } -> std::same_as<boost::asio::awaitable<void>>;
+};
+
+} // namespace masticshift::platform
+
+#endif
--- /dev/null
+++ b/libs/platform/include/platform/timer_wait.hpp
@@ -0,0 +1,19 @@
+#ifndef MASTICSHIFT_PLATFORM_TIMER_WAIT_HPP
+#define MASTICSHIFT_PLATFORM_TIMER_WAIT_HPP
+
+#include <core/time.hpp>
+
+#include <boost/asio/awaitable.hpp>
+
+namespace masticshift::platform
+{
+
+/// A `waiter` that suspends the coroutine on a timer of its executor.
+struct timer_wait
+{
+    boost::asio::awaitable<void> operator()(milliseconds length) const;
+};
+
+} // namespace masticshift::platform
+
+#endif
--- /dev/null
+++ b/libs/platform/src/json_access.hpp
@@ -0,0 +1,27 @@
+#ifndef MASTICSHIFT_PLATFORM_JSON_ACCESS_HPP
+#define MASTICSHIFT_PLATFORM_JSON_ACCESS_HPP
+
+#include <boost/json/value.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace masticshift::platform
+{
+
+/// Parses an object. Nothing when the text is anything else.
+std::optional<boost::json::object> parse_object(std::string_view json);
+
+// Members of an object. Nothing when absent or of another type.
+std::optional<std::uint64_t> number_at(boost::json::object const& object,
+                                       std::string_view key);
+std::optional<std::string> string_at(boost::json::object const& object,
+                                     std::string_view key);
+boost::json::array const* array_at(boost::json::object const& object,
+                                   std::string_view key);
+
+} // namespace masticshift::platform
+
+#endif
--- /dev/null
+++ b/libs/platform/tests/fake_platform.hpp
@@ -0,0 +1,222 @@
+#ifndef MASTICSHIFT_PLATFORM_TESTS_FAKE_PLATFORM_HPP
+#define MASTICSHIFT_PLATFORM_TESTS_FAKE_PLATFORM_HPP
+
+#include <platform/configuration_store.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace masticshift::platform
+{
+
+/// What becomes of one commit.
+enum class commit_fate
+{
+    answered,
+    answer_lost,
+    request_lost,
+    /// The answer is lost, and the write takes effect at a later step.
+    delayed,
+    unreachable
+};
+
+/// A table in memory. Each call is suspended before and after its effect; the
+/// test chooses which suspended call goes on.
+class fake_platform
+{
+public:
+    /// Chooses the fate of the next commit.
+    std::function<commit_fate()> choose_fate = []
+    {
+        return commit_fate::answered;
+    };
+    /// Chooses whether the next read succeeds.
+    std::function<bool()> choose_read = []
+    {
+        return true;
+    };
+    /// Runs once, when the next commit has met its fate.
+    std::function<void()> after_commit;
+    /// Each change that took effect, in order.
+    std::vector<revision_origin> made;
+
+    boost::asio::awaitable<outcome<table_entry>> read(table_key key)
+    {
+        co_await step();
+        if (!choose_read())
+            co_return failure{result_code::platform_unavailable, "down"};
+        auto const entry = entries_[key];
+        co_await step();
+        co_return entry;
+    }
+
+    boost::asio::awaitable<commit_answer> commit(transaction write)
+    {
+        co_await step();
+        failure const error{result_code::platform_timeout, "no answer"};
+        auto answer = commit_answer{commit_state::unknown, error};
+        switch (choose_fate())
+        {
+        case commit_fate::answered:
+            answer = {take(write) ? commit_state::committed
+                                  : commit_state::conflict,
+                      {}};
+            break;
+        case commit_fate::answer_lost:
+            take(write);
+            break;
+        case commit_fate::request_lost:
+            break;
+        case commit_fate::delayed:
+            waiting_.push_back(
+                [this, write]
+                {
+                    take(write);
+                });
+            break;
+        case commit_fate::unreachable:
+            answer.state = commit_state::not_written;
+            break;
+        }
+        if (auto const hook = std::exchange(after_commit, nullptr))
+            hook();
+        co_await step();
+        co_return answer;
+    }
+
+    boost::asio::awaitable<outcome<vm_list>> read_vms()
+    {
+        co_return vm_list{};
+    }
+
+    /// Suspends the coroutine until the test lets it go on.
+    boost::asio::awaitable<void> step()
+    {
+        boost::asio::use_awaitable_t<> token;
+        co_await boost::asio::async_initiate<decltype(token), void()>(
+            [this](auto handler)
+            {
+                auto const kept =
+                    std::make_shared<decltype(handler)>(std::move(handler));
+                waiting_.push_back(
+                    [kept]
+                    {
+                        std::move (*kept)();
+                    });
+            },
+            token);
+    }
+
+    /// Runs all that was spawned. `choose` picks one of so many.
+    void run(std::function<std::size_t(std::size_t)> const& choose)
+    {
+        poll();
+        while (!waiting_.empty())
+        {
+            auto const at =
+                static_cast<std::ptrdiff_t>(choose(waiting_.size()));
+            auto next = std::move(waiting_[static_cast<std::size_t>(at)]);
+            waiting_.erase(waiting_.begin() + at);
+            boost::asio::post(context, std::move(next));
+            poll();
+        }
+    }
+
+    /// Another operator's change that takes effect at once.
+    void make_revision(std::string const& change_id)
+    {
+        auto const entry = entries_[configuration_key()];
+        configuration_record record;
+        if (entry.version > 0)
+            record = parse_record(entry.value).value();
+        take(replace_record(entry.version,
+                            next_record(record, {change_id, ""})));
+    }
+
+    std::string value_of(table_key const& key)
+    {
+        return entries_[key].value;
+    }
+
+    boost::asio::io_context context;
+
+private:
+    void poll()
+    {
+        context.restart();
+        context.poll();
+    }
+
+    bool take(transaction const& write)
+    {
+        for (auto const& check : write.checks)
+        {
+            if (entries_[check.key].version != check.version)
+                return false;
+        }
+        for (auto const& each : write.writes)
+        {
+            auto& entry = entries_[each.key];
+            entry = {entry.version + 1, each.value.value_or("")};
+            if (each.key == configuration_key())
+                made.push_back(
+                    parse_record(entry.value).value().changes.back());
+        }
+        return true;
+    }
+
+    std::map<table_key, table_entry> entries_;
+    std::vector<std::function<void()>> waiting_;
+};
+
+/// A pause that ends when the test chooses it.
+struct fake_wait
+{
+    fake_platform* platform;
+
+    boost::asio::awaitable<void> operator()(milliseconds) const
+    {
+        return platform->step();
+    }
+};
+
+using fake_store = configuration_store<fake_platform, fake_wait>;
+
+/// Spawns one apply. The answer is filled in when it ends.
+inline std::shared_ptr<std::optional<apply_answer>>
+spawn_apply(fake_platform& platform, std::string const& change_id,
+            std::optional<std::uint64_t> expected = {})
+{
+    auto answer = std::make_shared<std::optional<apply_answer>>();
+    auto operate = [&platform, change_id, expected,
+                    answer]() -> boost::asio::awaitable<void>
+    {
+        fake_store store(platform, {&platform});
+        configuration_change const change{change_id, "text"};
+        *answer = co_await store.apply(change, expected);
+    };
+    // The coroutine needs the captures of its lambda to the end.
+    auto const kept = std::make_shared<decltype(operate)>(std::move(operate));
+    boost::asio::co_spawn(platform.context, (*kept)(),
+                          [kept](std::exception_ptr const& error)
+                          {
+                              if (error)
+                                  std::rethrow_exception(error);
+                          });
+    return answer;
+}
+
+} // namespace masticshift::platform
+
+#endif
