Add the public headers of peer_link

Cause: the daemon is written against them at once. The IDL changes: a field named service_name, since service is a word of the IDL and the file did not parse; leaving notices carry the time of their VM list, so that a newer list can end them; the kind of a forward is a number, since reading an unknown enumerator is undefined in the generated code; a refusal for calls that no handler saw. Nothing measured.

--- a/libs/peer_link/idl/masticshift.thrift
+++ b/libs/peer_link/idl/masticshift.thrift
@@ -5,7 +5,7 @@
 
 // Load of one service at one entry.
 struct service_load {
-  1: string service
+  1: string service_name
   2: i32 idle_slots
   3: i32 queued_tasks
 }
@@ -17,6 +17,13 @@
   3: string address
 }
 
+// An endpoint that a VM list showed as leaving.
+struct leaving_notice {
+  1: string endpoint
+  // Time of that list by the platform's clock.
+  2: i64 as_of_us
+}
+
 struct heartbeat {
   1: string address
   2: i64 incarnation
@@ -24,15 +31,17 @@
   4: string data_centre
   5: i64 revision
   6: list<service_load> loads
-  // Addresses of endpoints seen leaving in the VM list.
-  7: list<string> leaving_endpoints
+  // Endpoints seen leaving by the sender or by entries that it heard of.
+  7: list<leaving_notice> leaving_endpoints
   8: bool draining
   9: list<succession> successions
+  // Grows by one with each heartbeat interval of an incarnation.
   10: i64 sequence
 }
 
 struct heartbeat_reply {
   1: i64 revision
+  2: i64 incarnation
 }
 
 enum forward_kind {
@@ -43,7 +52,9 @@
 
 // A caller's call on an id whose home is the receiver.
 struct forward {
-  1: forward_kind kind
+  // A `forward_kind`, as a number: the receiver has to be able to look at one
+  // that it does not know.
+  1: i32 kind
   2: string id
   // `submit`: the caller's body, for requests the raw input.
   3: binary body
@@ -65,7 +76,7 @@
 }
 
 struct borrow {
-  1: string service
+  1: string service_name
   2: i32 count
   3: string borrower
   4: i64 incarnation
@@ -124,6 +135,12 @@
 struct acknowledgement {
 }
 
+// The call was turned away before its handler saw it.
+struct refusal {
+  1: i32 code
+  2: string detail
+}
+
 union message {
   1: heartbeat heartbeat_call
   2: heartbeat_reply heartbeat_answer
@@ -137,6 +154,7 @@
   10: handover handover_call
   11: handover_reply handover_answer
   12: acknowledgement acknowledgement_answer
+  13: refusal refusal_answer
 }
 
 struct envelope {
--- /dev/null
+++ b/libs/peer_link/include/peer_link/message_kind.hpp
@@ -0,0 +1,57 @@
+#ifndef MASTICSHIFT_PEER_LINK_MESSAGE_KIND_HPP
+#define MASTICSHIFT_PEER_LINK_MESSAGE_KIND_HPP
+
+#include <peer_link/wire.hpp>
+
+#include <array>
+#include <cstddef>
+#include <optional>
+#include <string_view>
+
+namespace masticshift::peer_link
+{
+
+/// The member of `wire::message` that is set.
+enum class message_kind
+{
+    heartbeat_call,
+    heartbeat_answer,
+    forward_call,
+    forward_answer,
+    borrow_call,
+    borrow_answer,
+    give_back_call,
+    fetch_text_call,
+    fetch_text_answer,
+    handover_call,
+    handover_answer,
+    acknowledgement_answer,
+    refusal_answer
+};
+
+constexpr std::size_t message_kind_count = 13;
+
+/// The name of the member, as in the IDL.
+std::string_view name_of(message_kind kind);
+
+/// The member that is set, or nothing unless it is exactly one.
+std::optional<message_kind> kind_of(wire::message const& content);
+
+/// Makes a message with the one member set.
+wire::message make_message(wire::heartbeat content);
+wire::message make_message(wire::heartbeat_reply content);
+wire::message make_message(wire::forward content);
+wire::message make_message(wire::forward_reply content);
+wire::message make_message(wire::borrow content);
+wire::message make_message(wire::borrow_reply content);
+wire::message make_message(wire::give_back content);
+wire::message make_message(wire::fetch_text content);
+wire::message make_message(wire::fetch_text_reply content);
+wire::message make_message(wire::handover content);
+wire::message make_message(wire::handover_reply content);
+wire::message make_message(wire::acknowledgement content);
+wire::message make_message(wire::refusal content);
+
+} // namespace masticshift::peer_link
+
+#endif
--- /dev/null
+++ b/libs/peer_link/include/peer_link/traffic.hpp
@@ -0,0 +1,54 @@
+#ifndef MASTICSHIFT_PEER_LINK_TRAFFIC_HPP
+#define MASTICSHIFT_PEER_LINK_TRAFFIC_HPP
+
+#include <peer_link/message_kind.hpp>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+namespace masticshift::peer_link
+{
+
+/// Messages of one kind and the bytes of their frames.
+struct message_count
+{
+    std::uint64_t messages = 0;
+    std::uint64_t bytes = 0;
+};
+
+/// Counts of one direction by kind.
+class message_counts
+{
+public:
+    message_count const& operator[](message_kind kind) const
+    {
+        return counts_[static_cast<std::size_t>(kind)];
+    }
+
+    void add(message_kind kind, std::size_t bytes)
+    {
+        auto& count = counts_[static_cast<std::size_t>(kind)];
+        ++count.messages;
+        count.bytes += bytes;
+    }
+
+private:
+    std::array<message_count, message_kind_count> counts_{};
+};
+
+/// What went over the connections of a client or a server.
+struct traffic
+{
+    message_counts sent;
+    message_counts received;
+    std::uint64_t connections_opened = 0;
+    /// Closed because the other side sent what is no frame.
+    std::uint64_t protocol_errors = 0;
+    /// Closed because nothing arrived in time.
+    std::uint64_t silent_connections = 0;
+};
+
+} // namespace masticshift::peer_link
+
+#endif
