--- a/libs/peer_link/idl/masticshift.thrift
+++ b/libs/peer_link/idl/masticshift.thrift
@@ -135,6 +135,11 @@
 struct acknowledgement {
 }
 
+// Asks the connection itself for a sign of life; answered with an
+// acknowledgement before any handler.
+struct probe {
+}
+
 // The call was turned away before its handler saw it.
 struct refusal {
   1: i32 code
@@ -155,6 +160,7 @@
   11: handover_reply handover_answer
   12: acknowledgement acknowledgement_answer
   13: refusal refusal_answer
+  14: probe probe_call
 }
 
 struct envelope {
--- a/libs/peer_link/include/peer_link/message_kind.hpp
+++ b/libs/peer_link/include/peer_link/message_kind.hpp
@@ -3,7 +3,6 @@
 
 #include <peer_link/wire.hpp>
 
-#include <array>
 #include <cstddef>
 #include <optional>
 #include <string_view>
@@ -26,10 +25,11 @@
     handover_call,
     handover_answer,
     acknowledgement_answer,
-    refusal_answer
+    refusal_answer,
+    probe_call
 };
 
-constexpr std::size_t message_kind_count = 13;
+constexpr std::size_t message_kind_count = 14;
 
 /// The name of the member, as in the IDL.
 std::string_view name_of(message_kind kind);
@@ -37,6 +37,11 @@
 /// The member that is set, or nothing unless it is exactly one.
 std::optional<message_kind> kind_of(wire::message const& content);
 
+/// The member that answers a call, apart from `refusal_answer`. Nothing for
+/// the kinds that are no calls. The client takes any other answer for a fault
+/// of the peer.
+std::optional<message_kind> answer_kind_of(message_kind call);
+
 /// Makes a message with the one member set.
 wire::message make_message(wire::heartbeat content);
 wire::message make_message(wire::heartbeat_reply content);
@@ -51,6 +56,7 @@
 wire::message make_message(wire::handover_reply content);
 wire::message make_message(wire::acknowledgement content);
 wire::message make_message(wire::refusal content);
+wire::message make_message(wire::probe content);
 
 } // namespace masticshift::peer_link
 
--- a/libs/peer_link/include/peer_link/peer_client.hpp
+++ b/libs/peer_link/include/peer_link/peer_client.hpp
@@ -22,8 +22,12 @@
     frame_limits frames;
     milliseconds connect{500};
     /// A connection with calls in flight on which nothing arrives for this
-    /// long is closed, and these calls fail.
+    /// long is closed, and these calls fail. After half of it the peer's
+    /// server is probed, so that a slow handler is no silence.
     milliseconds silence{2'000};
+    /// A connection without calls for this long is closed. Shorter than the
+    /// server's, so that a call does not meet a connection that just ends.
+    milliseconds idle{30'000};
     /// Sent bytes that stay unacknowledged for this long end the connection.
     milliseconds unacknowledged{2'000};
     /// Pause after the first failed connect. It doubles with each further one
@@ -46,24 +50,24 @@
     /// `peer_unreachable`: no connection, in back-off, or the connection
     /// broke. `deadline_passed`: no answer in time. `overloaded`: a limit of
     /// this client or of the peer's server. `peer_protocol`: an answer that is
-    /// malformed or a call that breaks the limits.
+    /// malformed or a call that breaks the limits. `cancelled`: the calling
+    /// coroutine was cancelled.
     failure error;
 };
 
 /// Called by `call_result::value()` when there is no value, a programming
 /// error.
-[[noreturn]] void
-throw_exception_from_error(peer_failure const& error,
-                           boost::source_location const& at);
+[[noreturn]] void throw_exception_from_error(peer_failure const& error,
+                                             boost::source_location const& at);
 
 using call_result = boost::system::result<wire::message, peer_failure>;
 
 /// Calls peers over one kept connection for each, on which calls overlap.
 ///
-/// A connection on which a call ran out of time takes no further calls: the
-/// next one opens a fresh connection, and the old one is closed when its last
-/// call has ended. While connects fail, calls fail at once until the shared
-/// back-off is over.
+/// When a call runs out of time and nothing has arrived since it was queued,
+/// its connection takes no further calls: the next one opens a fresh
+/// connection, and the old one is closed when its last call has ended. While
+/// connects fail, calls fail at once until the shared back-off is over.
 ///
 /// All members are called on the executor's thread.
 class peer_client
@@ -92,7 +96,7 @@
     /// Closes everything. Calls in flight fail, and so do all later ones.
     void stop();
 
-    unsigned connections() const;
+    std::size_t connections() const;
 
     peer_link::traffic const& traffic() const;
 
--- a/libs/peer_link/include/peer_link/peer_server.hpp
+++ b/libs/peer_link/include/peer_link/peer_server.hpp
@@ -25,6 +25,8 @@
     /// Calls of one connection that are handled at the same time, at most.
     /// More are refused with `overloaded`.
     unsigned max_calls_per_connection = 1'024;
+    /// Bytes of such calls, and of answers that wait to be sent.
+    std::size_t max_bytes_per_connection = 64 << 20;
     /// A frame has to arrive whole within this time after its length.
     milliseconds frame_read{5'000};
     /// A connection without a frame for this time is closed.
@@ -35,7 +37,8 @@
     milliseconds unacknowledged{2'000};
 };
 
-/// Answers one call. An answer without a member set closes the connection.
+/// Answers one call with the kind that `answer_kind_of` names. A handler that
+/// throws or answers without a member set closes the connection.
 using peer_handler =
     std::function<boost::asio::awaitable<wire::message>(wire::message call)>;
 
@@ -60,10 +63,10 @@
     outcome<void> listen(std::string const& ip, std::uint16_t port);
 
     std::uint16_t port() const;
-    unsigned connections() const;
+    std::size_t connections() const;
 
     /// Calls whose handlers have not ended or whose answers are not written.
-    unsigned calls() const;
+    std::size_t calls() const;
 
     /// Stops accepting connections. Open ones are served on.
     void stop_accepting();
--- /dev/null
+++ b/libs/peer_link/src/message_kind.cpp
@@ -0,0 +1,189 @@
+#include <peer_link/message_kind.hpp>
+
+#include <array>
+#include <utility>
+
+namespace masticshift::peer_link
+{
+
+namespace
+{
+
+using enum message_kind;
+
+constexpr std::array<std::string_view, message_kind_count> names{
+    "heartbeat_call", "heartbeat_answer", "forward_call",
+    "forward_answer", "borrow_call",      "borrow_answer",
+    "give_back_call", "fetch_text_call",  "fetch_text_answer",
+    "handover_call",  "handover_answer",  "acknowledgement_answer",
+    "refusal_answer", "probe_call"};
+
+/// Whether each member is set, in the order of `message_kind`.
+std::array<bool, message_kind_count> members_set(wire::message const& content)
+{
+    auto const& set = content.__isset;
+    return {
+        set.heartbeat_call, set.heartbeat_answer, set.forward_call,
+        set.forward_answer, set.borrow_call,      set.borrow_answer,
+        set.give_back_call, set.fetch_text_call,  set.fetch_text_answer,
+        set.handover_call,  set.handover_answer,  set.acknowledgement_answer,
+        set.refusal_answer, set.probe_call};
+}
+
+} // namespace
+
+std::string_view name_of(message_kind kind)
+{
+    return names.at(static_cast<std::size_t>(kind));
+}
+
+std::optional<message_kind> kind_of(wire::message const& content)
+{
+    std::optional<message_kind> kind;
+    auto const set = members_set(content);
+    for (std::size_t i = 0; i < set.size(); ++i)
+    {
+        if (!set.at(i))
+            continue;
+        if (kind)
+            return std::nullopt;
+        kind = static_cast<message_kind>(i);
+    }
+    return kind;
+}
+
+std::optional<message_kind> answer_kind_of(message_kind call)
+{
+    switch (call)
+    {
+    case heartbeat_call:
+        return heartbeat_answer;
+    case forward_call:
+        return forward_answer;
+    case borrow_call:
+        return borrow_answer;
+    case fetch_text_call:
+        return fetch_text_answer;
+    case handover_call:
+        return handover_answer;
+    case give_back_call:
+    case probe_call:
+        return acknowledgement_answer;
+    default:
+        return std::nullopt;
+    }
+}
+
+wire::message make_message(wire::heartbeat content)
+{
+    wire::message made;
+    made.heartbeat_call = std::move(content);
+    made.__isset.heartbeat_call = true;
+    return made;
+}
+
+wire::message make_message(wire::heartbeat_reply content)
+{
+    wire::message made;
+    made.heartbeat_answer = std::move(content);
+    made.__isset.heartbeat_answer = true;
+    return made;
+}
+
+wire::message make_message(wire::forward content)
+{
+    wire::message made;
+    made.forward_call = std::move(content);
+    made.__isset.forward_call = true;
+    return made;
+}
+
+wire::message make_message(wire::forward_reply content)
+{
+    wire::message made;
+    made.forward_answer = std::move(content);
+    made.__isset.forward_answer = true;
+    return made;
+}
+
+wire::message make_message(wire::borrow content)
+{
+    wire::message made;
+    made.borrow_call = std::move(content);
+    made.__isset.borrow_call = true;
+    return made;
+}
+
+wire::message make_message(wire::borrow_reply content)
+{
+    wire::message made;
+    made.borrow_answer = std::move(content);
+    made.__isset.borrow_answer = true;
+    return made;
+}
+
+wire::message make_message(wire::give_back content)
+{
+    wire::message made;
+    made.give_back_call = std::move(content);
+    made.__isset.give_back_call = true;
+    return made;
+}
+
+wire::message make_message(wire::fetch_text content)
+{
+    wire::message made;
+    made.fetch_text_call = std::move(content);
+    made.__isset.fetch_text_call = true;
+    return made;
+}
+
+wire::message make_message(wire::fetch_text_reply content)
+{
+    wire::message made;
+    made.fetch_text_answer = std::move(content);
+    made.__isset.fetch_text_answer = true;
+    return made;
+}
+
+wire::message make_message(wire::handover content)
+{
+    wire::message made;
+    made.handover_call = std::move(content);
+    made.__isset.handover_call = true;
+    return made;
+}
+
+wire::message make_message(wire::handover_reply content)
+{
+    wire::message made;
+    made.handover_answer = std::move(content);
+    made.__isset.handover_answer = true;
+    return made;
+}
+
+wire::message make_message(wire::acknowledgement content)
+{
+    wire::message made;
+    made.acknowledgement_answer = std::move(content);
+    made.__isset.acknowledgement_answer = true;
+    return made;
+}
+
+wire::message make_message(wire::refusal content)
+{
+    wire::message made;
+    made.refusal_answer = std::move(content);
+    made.__isset.refusal_answer = true;
+    return made;
+}
+
+wire::message make_message(wire::probe content)
+{
+    wire::message made;
+    made.probe_call = std::move(content);
+    made.__isset.probe_call = true;
+    return made;
+}
+
+} // namespace masticshift::peer_link
