Lend while tasks wait for faster slots; judge endpoints one by one

Four failing endpoints of 48 drew nearly all tasks of a single entry, hid each other and were never ejected (99 % of the tasks).

Ruled out: ageing of 0.1 to 4, which moves the mean by less than 0.04.

--- a/libs/placement/include/placement/endpoint_health.hpp
+++ b/libs/placement/include/placement/endpoint_health.hpp
@@ -61,6 +61,7 @@
 private:
     void record_success(failure_totals& totals);
     void record_failure(double weight, failure_totals& totals, time_point now);
+    double failure_rate() const;
     void add(double bad, failure_totals& totals);
     bool fails_more_than_others(failure_totals const& totals) const;
     void eject(failure_totals& totals, time_point now);
@@ -76,6 +77,7 @@
     std::uint16_t ejections_ = 0;
     std::uint16_t pauses_ = 0;
     std::uint16_t connect_failures_in_row_ = 0;
+    std::uint16_t refusals_in_row_ = 0;
     std::uint16_t successes_in_row_ = 0;
     bool ejected_ = false;
 };
--- a/libs/placement/include/placement/engine_settings.hpp
+++ b/libs/placement/include/placement/engine_settings.hpp
@@ -19,7 +19,7 @@
     /// tasks last longer.
     duration loan = milliseconds(200);
     /// Mean run times of the service that a loan lasts for at least.
-    double loan_run_times = 2.0;
+    double loan_run_times = 8.0;
     /// A lender uses a slot this long after the loan's end, and a borrower
     /// starts nothing on it within this time before.
     duration loan_margin = milliseconds(10);
--- a/libs/placement/include/placement/failure_totals.hpp
+++ b/libs/placement/include/placement/failure_totals.hpp
@@ -8,9 +8,9 @@
 /// is judged.
 struct failure_totals
 {
-    /// Decayed numbers of results and of failures.
-    double results = 0;
-    double bad = 0;
+    /// Sum of the failure rates of the endpoints. Each counts the same, however
+    /// many tasks it gets, since one that fails at once gets the most.
+    double rates = 0;
     unsigned endpoints = 0;
     unsigned ejected = 0;
     double max_ejected_part = 0.5;
--- a/libs/placement/src/endpoint_health.cpp
+++ b/libs/placement/src/endpoint_health.cpp
@@ -17,7 +17,7 @@
 constexpr double prior_successes = 4;
 constexpr double min_bad = 2.5;
 constexpr double min_rate_above_others = 0.15;
-constexpr double rate_over_others = 3;
+constexpr double rate_over_others = 1.5;
 // Further failures of the job that failed last, since the task may be at
 // fault.
 constexpr double same_job_weight = 0.125;
@@ -29,6 +29,7 @@
 constexpr auto longest_refusal_pause = milliseconds(200);
 constexpr auto first_connect_pause = milliseconds(50);
 constexpr auto longest_connect_pause = milliseconds(5'000);
+constexpr unsigned refusals_to_pause = 3;
 constexpr unsigned unreachable_after = 3;
 constexpr unsigned successes_to_readmit = 4;
 constexpr unsigned max_doublings = 16;
@@ -99,7 +100,10 @@
         break;
     case task_result::refused_not_run:
         count_up(counts_.refusals);
-        pause(first_refusal_pause, longest_refusal_pause, now);
+        count_up(refusals_in_row_);
+        // The slot may only have been lent for longer than its owner thinks.
+        if (refusals_in_row_ >= refusals_to_pause)
+            pause(first_refusal_pause, longest_refusal_pause, now);
         break;
     case task_result::not_connected:
         count_up(counts_.connect_failures);
@@ -115,6 +119,7 @@
 {
     add(0, totals);
     pauses_ = 0;
+    refusals_in_row_ = 0;
     connect_failures_in_row_ = 0;
     if (!ejected_)
         return;
@@ -132,33 +137,39 @@
     if (ejected_)
     {
         // Results of tasks that ran before the ejection do not lengthen it.
-        if (now >= blocked_until_)
+        if (now < blocked_until_)
+            return;
+        if (fails_more_than_others(totals))
             eject(totals, now);
+        else
+            readmit(totals);
         return;
     }
     if (totals.may_eject_another() && fails_more_than_others(totals))
         eject(totals, now);
 }
 
+double endpoint_health::failure_rate() const
+{
+    return bad_ / (results_ + prior_successes);
+}
+
 void endpoint_health::add(double bad, failure_totals& totals)
 {
-    totals.results -= results_;
-    totals.bad -= bad_;
+    totals.rates -= failure_rate();
     results_ = results_ * decay + 1;
     bad_ = bad_ * decay + static_cast<float>(bad);
-    totals.results += results_;
-    totals.bad += bad_;
+    totals.rates += failure_rate();
 }
 
 bool endpoint_health::fails_more_than_others(failure_totals const& totals) const
 {
-    if (bad_ < min_bad)
+    if (bad_ < min_bad || totals.endpoints < 2)
         return false;
-    double const others = std::max(0.0, totals.results - results_);
-    double const others_bad = std::max(0.0, totals.bad - bad_);
-    double const others_rate = others_bad / (others + prior_successes);
-    double const rate = bad_ / (results_ + prior_successes);
-    return rate > min_rate_above_others + rate_over_others * others_rate;
+    double const others = std::max(0.0, totals.rates - failure_rate());
+    double const others_rate = others / (totals.endpoints - 1);
+    return failure_rate() >
+           min_rate_above_others + rate_over_others * others_rate;
 }
 
 void endpoint_health::eject(failure_totals& totals, time_point now)
@@ -184,8 +195,7 @@
 {
     ejected_ = false;
     --totals.ejected;
-    totals.results -= results_;
-    totals.bad -= bad_;
+    totals.rates -= failure_rate();
     results_ = 0;
     bad_ = 0;
     // A relapse soon after waits longer than the first ejection did.
@@ -194,8 +204,7 @@
 
 void endpoint_health::join(failure_totals& totals) const
 {
-    totals.results += results_;
-    totals.bad += bad_;
+    totals.rates += failure_rate();
     if (ejected_)
         ++totals.ejected;
 }
--- a/libs/placement/src/endpoint_state.cpp
+++ b/libs/placement/src/endpoint_state.cpp
@@ -23,6 +23,26 @@
     return own;
 }
 
+void endpoint_state::free_slot(unsigned index, duration too_short,
+                               time_point now)
+{
+    auto& slot = slots[index];
+    slot.busy = false;
+    if (slot.borrowed && slot.until - now < too_short)
+        slot.borrowed = false;
+}
+
+void endpoint_state::yield_slot(unsigned index, duration length, time_point now)
+{
+    auto& slot = slots[index];
+    slot.borrowed = false;
+    if (!slot.owned)
+        return;
+    slot.lent = true;
+    slot.party = 0;
+    slot.until = now + length;
+}
+
 time_point endpoint_state::expire(time_point now)
 {
     auto next = time_point::max();
--- a/libs/placement/src/endpoint_state.hpp
+++ b/libs/placement/src/endpoint_state.hpp
@@ -67,6 +67,13 @@
     /// taken only for tasks that end before it.
     std::optional<unsigned> pick_slot(duration length, time_point now) const;
 
+    /// Frees a slot after a task. A loan that ends within `too_short` is given
+    /// up.
+    void free_slot(unsigned slot, duration too_short, time_point now);
+
+    /// Takes a slot for `length` that some other entry seems to use.
+    void yield_slot(unsigned slot, duration length, time_point now);
+
     /// Ends loans that are over, and counts. Returns when the next one ends.
     time_point expire(time_point now);
 };
--- a/libs/placement/src/engine_impl.hpp
+++ b/libs/placement/src/engine_impl.hpp
@@ -374,7 +374,10 @@
         return;
     auto& service = job->service;
     auto& member = service.members[task.member];
-    member.endpoint->slots[task.slot].busy = false;
+    auto const part_of_run = service.mean_run_time(member) / 2;
+    member.endpoint->free_slot(task.slot, part_of_run, now);
+    if (result == task_result::refused_not_run)
+        member.endpoint->yield_slot(task.slot, part_of_run, now);
     service.ended(task.member);
     member.health.record(result, ref.job, service.failures, now);
     if (result == task_result::ok)
--- a/libs/placement/src/fleet.cpp
+++ b/libs/placement/src/fleet.cpp
@@ -46,7 +46,7 @@
     for (auto& service : services_)
     {
         if (!text.services.contains(service->config.name))
-            retire(*service);
+            service->retired = true;
     }
     for (auto const& row : text.services)
         configure_service(row.second, now);
@@ -96,7 +96,7 @@
     if (known != nullptr)
     {
         made->inherit(*known);
-        retire(*known);
+        known->retired = true;
     }
     std::uint32_t member = 0;
     for (auto* endpoint : endpoints)
@@ -120,11 +120,6 @@
     return result;
 }
 
-void fleet::retire(service_state& service)
-{
-    service.retired = true;
-}
-
 void fleet::drop_if_unused(service_state& service)
 {
     if (!service.retired || service.jobs > 0)
@@ -216,6 +211,8 @@
         if (endpoint)
             refresh(*endpoint, now);
     }
+    for (auto& service : services_)
+        service->count_capacity();
 }
 
 void fleet::refresh(endpoint_state& endpoint, time_point now)
@@ -246,7 +243,7 @@
     {
         auto const due = wakes_.top();
         wakes_.pop();
-        auto* endpoint = endpoints_[due.id].get();
+        auto* endpoint = this->endpoint(due.id);
         if (endpoint == nullptr || endpoint->wake != due.at)
             continue;
         endpoint->wake = time_point::max();
--- a/libs/placement/src/fleet.hpp
+++ b/libs/placement/src/fleet.hpp
@@ -42,6 +42,11 @@
     /// The service as it is configured now.
     service_state* find(std::string_view name) const;
     endpoint_state* find_endpoint(std::string_view name) const;
+    /// The endpoint with this id, if it is still there.
+    endpoint_state* endpoint(endpoint_id id) const
+    {
+        return id < endpoints_.size() ? endpoints_[id].get() : nullptr;
+    }
 
     /// Drops a retired service after its last job.
     void drop_if_unused(service_state& service);
@@ -69,7 +74,6 @@
                            time_point now);
     std::vector<endpoint_state*>
     endpoints_for(config::service_config const& config) const;
-    void retire(service_state& service);
     void drop_unused_services();
     void drop_unused_endpoints();
     void assign_owners(endpoint_state& endpoint);
--- a/libs/placement/src/loan_book.cpp
+++ b/libs/placement/src/loan_book.cpp
@@ -4,6 +4,7 @@
 #include "stable_hash.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace masticshift::placement
@@ -12,21 +13,33 @@
 namespace
 {
 
-// Part of its idle slots that an entry keeps for its own next tasks.
-constexpr double kept_part = 0.25;
+// Idle slots that an entry keeps for its own next tasks, times the square root
+// of their number, as arrivals vary.
+constexpr double kept_factor = 1;
 constexpr auto longest_loan = milliseconds(5'000);
 // A loan that ends sooner is not worth returning.
 constexpr auto min_returned = milliseconds(50);
+// Loans are looked through no more often than this.
+constexpr auto surplus_interval = milliseconds(20);
 
-bool serves_queued_tasks(endpoint_state const& endpoint)
+/// Whether tasks of another service than `except` wait for the endpoint.
+bool wanted_by_others(endpoint_state const& endpoint,
+                      service_state const* except)
 {
     return std::ranges::any_of(endpoint.memberships,
-                               [](membership const& part)
+                               [except](membership const& part)
                                {
-                                   return part.service->queued_tasks > 0;
+                                   return part.service != except &&
+                                          part.service->queued_tasks > 0;
                                });
 }
 
+bool may_lend(service_state const& service, member_state const& member)
+{
+    return service.is_startable(member) &&
+           !wanted_by_others(*member.endpoint, &service);
+}
+
 unsigned lendable_slots(endpoint_state const& endpoint)
 {
     auto const count =
@@ -34,9 +47,11 @@
     return static_cast<unsigned>(count);
 }
 
-unsigned without_kept(unsigned idle)
+unsigned without_kept(unsigned idle, std::size_t queued)
 {
-    return idle - static_cast<unsigned>(static_cast<double>(idle) * kept_part);
+    double const kept = kept_factor * std::sqrt(idle);
+    double const left = idle - std::ceil(kept) - static_cast<double>(queued);
+    return left > 0 ? static_cast<unsigned>(left) : 0;
 }
 
 } // namespace
@@ -51,11 +66,10 @@
     unsigned idle = 0;
     for (auto const& member : service.members)
     {
-        auto const& endpoint = *member.endpoint;
-        if (service.is_startable(member) && !serves_queued_tasks(endpoint))
-            idle += lendable_slots(endpoint);
+        if (may_lend(service, member))
+            idle += lendable_slots(*member.endpoint);
     }
-    return without_kept(idle);
+    return without_kept(idle, service.queued_tasks);
 }
 
 std::vector<loan> loan_book::lend(service_state& service, unsigned count,
@@ -70,7 +84,7 @@
     {
         auto& member = service.members[index];
         auto& endpoint = *member.endpoint;
-        if (!service.is_startable(member) || serves_queued_tasks(endpoint))
+        if (loans.size() == given || !may_lend(service, member))
             continue;
         for (unsigned i = 0; i < endpoint.config.slots; ++i)
         {
@@ -93,30 +107,25 @@
 duration loan_book::loan_length(service_state const& service,
                                 member_state const& member) const
 {
-    double const run_time = service.model.mean() / member.speed.value();
+    double const run_time = to_seconds(service.mean_run_time(member));
     auto const runs = from_seconds(run_time * settings_.loan_run_times);
     auto const longest = std::max<duration>(longest_loan, settings_.loan);
     return std::clamp(runs, settings_.loan, longest);
 }
 
-slot_state* loan_book::find_slot(std::string_view name, unsigned slot) const
-{
-    auto* endpoint = all_.find_endpoint(name);
-    if (endpoint == nullptr || slot >= endpoint->config.slots)
-        return nullptr;
-    return &endpoint->slots[slot];
-}
-
 void loan_book::take_back(std::uint32_t borrower,
                           std::vector<loan> const& loans, time_point now)
 {
     for (auto const& loan : loans)
     {
-        auto* slot = find_slot(loan.endpoint, loan.slot);
-        if (slot == nullptr || !slot->lent || slot->party != borrower)
+        auto* endpoint = all_.find_endpoint(loan.endpoint);
+        if (endpoint == nullptr || loan.slot >= endpoint->slots.size())
+            continue;
+        auto& slot = endpoint->slots[loan.slot];
+        if (!slot.lent || slot.party != borrower)
             continue;
-        slot->lent = false;
-        all_.refresh(*all_.find_endpoint(loan.endpoint), now);
+        slot.lent = false;
+        all_.refresh(*endpoint, now);
     }
 }
 
@@ -124,22 +133,34 @@
                        time_point since, time_point now)
 {
     forget_ended(now);
+    auto const lender_number = intern_lender(lender);
     for (auto const& loan : loans)
     {
-        auto* slot = find_slot(loan.endpoint, loan.slot);
+        auto* endpoint = all_.find_endpoint(loan.endpoint);
+        if (endpoint == nullptr || loan.slot >= endpoint->config.slots)
+            continue;
+        auto& slot = endpoint->slots[loan.slot];
         auto const until = since + loan.valid - settings_.loan_margin;
-        // A busy slot of another owner runs on from an earlier loan.
-        if (slot == nullptr || slot->owned || until <= now)
+        if (slot.owned || until <= now)
             continue;
-        slot->borrowed = true;
-        slot->used = slot->busy;
-        slot->until = until;
-        borrowed_.push_back(
-            {loan.endpoint, std::string(lender), loan.slot, until});
-        all_.refresh(*all_.find_endpoint(loan.endpoint), now);
+        slot.borrowed = true;
+        // A busy slot of another owner runs on from an earlier loan.
+        slot.used = slot.busy;
+        slot.until = until;
+        borrowed_.push_back({endpoint->id, lender_number, loan.slot, until});
+        all_.refresh(*endpoint, now);
     }
 }
 
+std::uint32_t loan_book::intern_lender(std::string_view address)
+{
+    auto const found = std::ranges::find(lenders_, address);
+    auto const number = static_cast<std::uint32_t>(found - lenders_.begin());
+    if (found == lenders_.end())
+        lenders_.emplace_back(address);
+    return number;
+}
+
 void loan_book::forget_ended(time_point now)
 {
     std::erase_if(borrowed_,
@@ -159,34 +180,54 @@
     return static_cast<std::size_t>(count);
 }
 
+slot_state* loan_book::find_held(borrowed_slot const& loan) const
+{
+    auto* endpoint = all_.endpoint(loan.endpoint);
+    if (endpoint == nullptr || loan.slot >= endpoint->slots.size())
+        return nullptr;
+    auto& slot = endpoint->slots[loan.slot];
+    return slot.borrowed && slot.until == loan.until ? &slot : nullptr;
+}
+
 bool loan_book::worth_returning(borrowed_slot const& loan, time_point now) const
 {
-    auto const* slot = find_slot(loan.endpoint, loan.slot);
-    if (slot == nullptr || !slot->borrowed || slot->busy)
-        return false;
-    if (slot->until != loan.until || slot->until - now < min_returned)
+    auto const* slot = find_held(loan);
+    if (slot == nullptr || slot->busy || slot->until - now < min_returned)
         return false;
-    return !serves_queued_tasks(*all_.find_endpoint(loan.endpoint));
+    return !wanted_by_others(*all_.endpoint(loan.endpoint), nullptr);
+}
+
+void loan_book::return_slot(borrowed_slot const& loan,
+                            std::vector<give_back>& result, time_point now)
+{
+    auto& endpoint = *all_.endpoint(loan.endpoint);
+    auto const& lender = lenders_[loan.lender];
+    auto at = std::ranges::find(result, lender, &give_back::lender);
+    if (at == result.end())
+        at = result.insert(result.end(), {lender, {}});
+    at->slots.push_back({endpoint.config.name, loan.slot, loan.until - now});
+    endpoint.slots[loan.slot].borrowed = false;
+    all_.refresh(endpoint, now);
 }
 
 std::vector<give_back> loan_book::surplus(borrow_pacing const& lenders,
                                           time_point now)
 {
     std::vector<give_back> result;
+    if (now < next_surplus_ || borrowed_.empty())
+        return result;
+    next_surplus_ = now + surplus_interval;
     forget_ended(now);
-    auto const returned = [&](borrowed_slot const& held)
+    std::vector<borrowed_slot> kept;
+    for (auto const& loan : borrowed_)
     {
-        if (!lenders.has_queue(held.lender) || !worth_returning(held, now))
-            return false;
-        auto at = std::ranges::find(result, held.lender, &give_back::lender);
-        if (at == result.end())
-            at = result.insert(result.end(), {held.lender, {}});
-        at->slots.push_back({held.endpoint, held.slot, held.until - now});
-        find_slot(held.endpoint, held.slot)->borrowed = false;
-        all_.refresh(*all_.find_endpoint(held.endpoint), now);
-        return true;
-    };
-    std::erase_if(borrowed_, returned);
+        if (lenders.has_queue(lenders_[loan.lender]) &&
+            worth_returning(loan, now))
+            return_slot(loan, result, now);
+        else
+            kept.push_back(loan);
+    }
+    borrowed_ = std::move(kept);
     return result;
 }
 
--- a/libs/placement/src/loan_book.hpp
+++ b/libs/placement/src/loan_book.hpp
@@ -42,21 +42,27 @@
 private:
     struct borrowed_slot
     {
-        std::string endpoint;
-        std::string lender;
+        endpoint_id endpoint = 0;
+        std::uint32_t lender = 0;
         unsigned slot = 0;
         time_point until;
     };
 
     duration loan_length(service_state const& service,
                          member_state const& member) const;
-    slot_state* find_slot(std::string_view endpoint, unsigned slot) const;
+    std::uint32_t intern_lender(std::string_view address);
+    /// The slot of a loan that has neither ended nor been replaced.
+    slot_state* find_held(borrowed_slot const& loan) const;
     bool worth_returning(borrowed_slot const& loan, time_point now) const;
+    void return_slot(borrowed_slot const& loan, std::vector<give_back>& result,
+                     time_point now);
     void forget_ended(time_point now);
 
     fleet& all_;
     engine_settings const& settings_;
     std::vector<borrowed_slot> borrowed_;
+    std::vector<std::string> lenders_;
+    time_point next_surplus_{};
 };
 
 } // namespace masticshift::placement
--- a/libs/placement/src/service_state.cpp
+++ b/libs/placement/src/service_state.cpp
@@ -160,6 +160,7 @@
     }
     for (std::uint32_t i = 0; i < members.size(); ++i)
         refresh(i, now);
+    count_capacity();
 }
 
 // Speeds and run times are known only up to a common factor.
@@ -210,9 +211,9 @@
                                });
 }
 
-double service_state::owned_capacity() const
+void service_state::count_capacity()
 {
-    double sum = 0;
+    owned_capacity_ = 0;
     for (auto const& member : members)
     {
         if (member.endpoint->leaving)
@@ -222,9 +223,13 @@
                                                  {
                                                      return slot.owned;
                                                  });
-        sum += static_cast<double>(owned) * member.speed.value();
+        owned_capacity_ += static_cast<double>(owned) * member.speed.value();
     }
-    return sum;
+}
+
+duration service_state::mean_run_time(member_state const& member) const
+{
+    return from_seconds(model.mean() / member.speed.value());
 }
 
 } // namespace masticshift::placement
--- a/libs/placement/src/service_state.hpp
+++ b/libs/placement/src/service_state.hpp
@@ -86,7 +86,14 @@
     /// Whether it could start work, as far as its own endpoints go.
     bool usable(time_point now) const;
     /// Sum of the speeds of the slots that this entry owns.
-    double owned_capacity() const;
+    double owned_capacity() const
+    {
+        return owned_capacity_;
+    }
+    /// To be called when slots change owner or endpoints leave.
+    void count_capacity();
+    /// Predicted run time of a task of mean size at a member.
+    duration mean_run_time(member_state const& member) const;
 
     config::service_config config;
     std::vector<member_state> members;
@@ -113,6 +120,7 @@
     /// Tasks of this entry that run on endpoints of each class.
     std::array<std::uint32_t, speed_classes> busy_{};
     std::uint32_t learned_ = 0;
+    double owned_capacity_ = 0;
 };
 
 } // namespace masticshift::placement
--- a/libs/placement/tests/placement_trial.cpp
+++ b/libs/placement/tests/placement_trial.cpp
@@ -23,6 +23,7 @@
 DEFINE_double(size_error, 0.7, "sigma of the logarithm of size errors");
 DEFINE_double(loan_ms, 200, "least length of loans");
 DEFINE_double(ageing, 1, "work that a second of waiting makes up for");
+DEFINE_double(loan_run_times, 8, "mean run times that a loan lasts for");
 DEFINE_uint32(loan_batch, 16, "slots asked for at once");
 DEFINE_string(loads, "0.3,0.5,0.8", "parts of the capacity");
 DEFINE_string(policies, "", "all when empty; one_queue is a single entry");
@@ -70,6 +71,7 @@
             auto settings = settings_of(address(i));
             settings.loan = at_ms(FLAGS_loan_ms) - at_ms(0);
             settings.loan_batch = FLAGS_loan_batch;
+            settings.loan_run_times = FLAGS_loan_run_times;
             settings.ageing = FLAGS_ageing;
             entries_.push_back(
                 *make_engine(single ? "lending_eager" : policy, settings));
