--- /dev/null
+++ b/libs/placement/tests/engine_property_test.cpp
@@ -0,0 +1,252 @@
+#include "fixture.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <array>
+#include <map>
+#include <set>
+
+using namespace masticshift;
+using namespace masticshift::placement;
+using namespace masticshift::placement::testing;
+
+namespace
+{
+
+constexpr unsigned engine_count = 3;
+constexpr unsigned steps = 400;
+
+struct slot_key
+{
+    std::string endpoint;
+    unsigned slot = 0;
+    auto operator<=>(slot_key const&) const = default;
+};
+
+struct running_task
+{
+    unsigned engine = 0;
+    assignment start;
+    slot_key slot;
+    time_point loan_end = time_point::max();
+};
+
+/// Three engines with one view, driven by random steps.
+class random_run
+{
+public:
+    explicit random_run(std::string_view policy)
+    {
+        std::vector<entry_view> views;
+        for (unsigned i = 0; i < engine_count; ++i)
+            views.push_back(view_of(address(i)));
+        for (unsigned i = 0; i < engine_count; ++i)
+        {
+            engines_.push_back(*make_engine(policy, settings_of(address(i))));
+            engines_[i].configure(text_of(3, 3), at_ms(0));
+            engines_[i].set_entries(views, at_ms(0));
+        }
+    }
+
+    void step()
+    {
+        now_ += *rc::gen::inRange(0, 60);
+        auto const engine = *rc::gen::inRange(0U, engine_count);
+        switch (*rc::gen::inRange(0, 8))
+        {
+        case 0:
+        case 1:
+            admit(engine);
+            break;
+        case 2:
+            lend(engine, *rc::gen::inRange(0U, engine_count));
+            break;
+        case 3:
+            return_surplus(engine);
+            break;
+        case 4:
+            cancel(engine);
+            break;
+        default:
+            finish_one();
+            break;
+        }
+        place(engine);
+    }
+
+    void finish_all()
+    {
+        for (unsigned round = 0; round < 100 * steps; ++round)
+        {
+            now_ += 50;
+            for (unsigned i = 0; i < engine_count; ++i)
+                place(i);
+            if (running_.empty() && unfinished() == 0)
+                return;
+            while (!running_.empty())
+                finish(0, task_result::ok);
+        }
+        RC_FAIL("some tasks never started");
+    }
+
+    std::size_t unfinished() const
+    {
+        std::size_t jobs = 0;
+        for (auto const& engine : engines_)
+            jobs += engine.status(now()).services.at(0).jobs;
+        return jobs;
+    }
+
+private:
+    static std::string address(unsigned engine)
+    {
+        return "10.0.0." + std::to_string(engine) + ":1";
+    }
+    time_point now() const
+    {
+        return at_ms(now_);
+    }
+
+    void admit(unsigned engine)
+    {
+        auto const count = *rc::gen::inRange(1, 6);
+        std::vector<float> sizes;
+        for (int i = 0; i < count; ++i)
+            sizes.push_back(static_cast<float>(*rc::gen::inRange(1, 30)) / 10);
+        auto const answer =
+            engines_[engine].admit(job_of(++jobs_, sizes), now());
+        RC_ASSERT(answer.accepted());
+        owner_[jobs_] = engine;
+    }
+
+    void place(unsigned engine)
+    {
+        for (auto const& start : engines_[engine].place(now()))
+        {
+            running_task task{
+                engine, start, {start.endpoint->name, start.slot}};
+            if (start.borrowed)
+                task.loan_end = loan_ends_.at(task.slot);
+            // A task starts once, or again after a certain non-start.
+            RC_ASSERT(started_.insert(start.task).second);
+            for (auto const& other : running_)
+                check_slot(task, other);
+            running_.push_back(task);
+        }
+    }
+
+    void check_slot(running_task const& task, running_task const& other) const
+    {
+        if (task.slot != other.slot)
+            return;
+        RC_ASSERT(task.engine != other.engine);
+        // Only a task that runs on past its loan may share a slot.
+        RC_ASSERT(other.start.borrowed);
+        RC_ASSERT(other.loan_end < now());
+    }
+
+    void finish_one()
+    {
+        if (running_.empty())
+            return;
+        auto const index = *rc::gen::inRange<std::size_t>(0, running_.size());
+        auto const result = *rc::gen::element(
+            task_result::ok, task_result::ok, task_result::failed,
+            task_result::lost, task_result::refused_not_run,
+            task_result::not_connected);
+        finish(index, result);
+    }
+
+    void finish(std::size_t index, task_result result)
+    {
+        auto const task = running_[index];
+        running_.erase(running_.begin() + static_cast<std::ptrdiff_t>(index));
+        auto& engine = engines_[task.engine];
+        auto const ref = task.start.task;
+        engine.finished(ref, result, milliseconds(50), now());
+        if (!certainly_not_started(result))
+            return;
+        if (engine.requeue(ref, now()))
+            started_.erase(ref);
+        else
+            engine.cancel(ref.job, now());
+    }
+
+    void cancel(unsigned engine)
+    {
+        if (jobs_ == 0)
+            return;
+        auto const job = *rc::gen::inRange<std::uint64_t>(1, jobs_ + 1);
+        auto const listed = engines_[engine].cancel(job, now());
+        std::set<task_ref> expected;
+        for (auto const& task : running_)
+        {
+            if (task.engine == engine && task.start.task.job == job)
+                expected.insert(task.start.task);
+        }
+        RC_ASSERT(std::set<task_ref>(listed.begin(), listed.end()) == expected);
+    }
+
+    // The call and its answer each take some time, and the answer may be lost.
+    void lend(unsigned lender, unsigned borrower)
+    {
+        if (lender == borrower)
+            return;
+        auto const asked_at = now();
+        auto const count = *rc::gen::inRange(1U, 8U);
+        auto loans =
+            engines_[lender].lend("s", count, address(borrower), 1, now());
+        for (auto const& loan : loans)
+            loan_ends_[{loan.endpoint, loan.slot}] = now() + loan.valid;
+        if (*rc::gen::inRange(0, 4) == 0)
+            return;
+        engines_[borrower].borrowed(address(lender), loans, asked_at);
+    }
+
+    void return_surplus(unsigned borrower)
+    {
+        std::vector<entry_view> views;
+        for (unsigned i = 0; i < engine_count; ++i)
+        {
+            views.push_back(view_of(address(i)));
+            views.back().loads = engines_[i].load(now());
+        }
+        engines_[borrower].set_entries(views, now());
+        for (auto const& back : engines_[borrower].surplus(now()))
+        {
+            for (unsigned i = 0; i < engine_count; ++i)
+            {
+                if (address(i) == back.lender)
+                    engines_[i].given_back(address(borrower), 1, back.slots,
+                                           now());
+            }
+        }
+    }
+
+    std::vector<any_engine> engines_;
+    std::vector<running_task> running_;
+    std::map<slot_key, time_point> loan_ends_;
+    std::map<std::uint64_t, unsigned> owner_;
+    std::set<task_ref> started_;
+    std::uint64_t jobs_ = 0;
+    int now_ = 0;
+};
+
+} // namespace
+
+TEST_CASE("random runs start each task once and share slots only by loans")
+{
+    for (auto const policy : policy_names())
+    {
+        CHECK(rc::check(std::string(policy),
+                        [policy]
+                        {
+                            random_run run(policy);
+                            for (unsigned i = 0; i < steps; ++i)
+                                run.step();
+                            run.finish_all();
+                            RC_ASSERT(run.unfinished() == 0U);
+                        }));
+    }
+}
--- /dev/null
+++ b/libs/placement/tests/lending_test.cpp
@@ -0,0 +1,215 @@
+#include "fixture.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace masticshift;
+using namespace masticshift::placement;
+using namespace masticshift::placement::testing;
+
+namespace
+{
+
+constexpr std::int64_t incarnation = 7;
+std::string const near_address = "10.0.1.1:1";
+std::string const far_address = "10.0.2.1:1";
+std::string const own_address = "10.0.0.9:1";
+
+entry_view lender_view(std::string const& address, std::string const& centre,
+                       unsigned idle, std::uint64_t sequence = 1)
+{
+    auto view = view_of(address, centre);
+    view.sequence = sequence;
+    view.loads.push_back({"s", idle, 0});
+    return view;
+}
+
+/// An engine that owns nothing and has tasks queued, since the endpoints are
+/// in another data centre that has an entry.
+any_engine borrower(std::string_view policy = "lending")
+{
+    auto settings = settings_of(own_address);
+    settings.data_centre = "home";
+    auto engine = *make_engine(policy, settings);
+    auto text = text_of(8, 8);
+    text.data_centres["home"] = {"home", "region", {"dc", "far"}};
+    engine.configure(text, at_ms(0));
+    return engine;
+}
+
+any_engine lender()
+{
+    auto engine = *make_engine("lending", settings_of(near_address));
+    engine.configure(text_of(8, 8), at_ms(0));
+    engine.set_entries({view_of(own_address, "home")}, at_ms(0));
+    return engine;
+}
+
+void queue_tasks(any_engine& engine, std::uint64_t job, unsigned tasks,
+                 double ms = 0)
+{
+    auto const sizes = std::vector<float>(tasks, 1.0F);
+    REQUIRE(engine.admit(job_of(job, sizes), at_ms(ms)).accepted());
+}
+
+} // namespace
+
+TEST_CASE("the nearest entry with idle slots is asked, once at a time")
+{
+    auto engine = borrower();
+    engine.set_entries({lender_view(far_address, "far", 20),
+                        lender_view(near_address, "dc", 3)},
+                       at_ms(0));
+    CHECK(engine.wanted(at_ms(0)).empty());
+    queue_tasks(engine, 1, 5);
+    CHECK(engine.place(at_ms(0)).empty());
+    auto const calls = engine.wanted(at_ms(0));
+    REQUIRE(calls.size() == 2);
+    CHECK(calls[0].lender == near_address);
+    CHECK(calls[0].count == 3);
+    CHECK(calls[1].count == 2);
+    CHECK(engine.wanted(at_ms(1)).empty());
+}
+
+TEST_CASE("an entry without slots is asked again only after fresh news")
+{
+    auto engine = borrower();
+    engine.set_entries({lender_view(near_address, "dc", 3)}, at_ms(0));
+    queue_tasks(engine, 1, 5);
+    CHECK(engine.wanted(at_ms(0)).size() == 1);
+    engine.borrowed(near_address, {}, at_ms(1));
+    CHECK(engine.wanted(at_ms(2)).empty());
+    engine.set_entries({lender_view(near_address, "dc", 3)}, at_ms(3));
+    CHECK(engine.wanted(at_ms(3)).empty());
+    engine.set_entries({lender_view(near_address, "dc", 3, 2)}, at_ms(4));
+    CHECK(engine.wanted(at_ms(4)).size() == 1);
+}
+
+TEST_CASE("a call without an answer is given up in time")
+{
+    auto engine = borrower();
+    engine.set_entries({lender_view(near_address, "dc", 3)}, at_ms(0));
+    queue_tasks(engine, 1, 5);
+    CHECK(engine.wanted(at_ms(0)).size() == 1);
+    CHECK(engine.next_event(at_ms(0)) == at_ms(1'000));
+    engine.set_entries({lender_view(near_address, "dc", 3, 2)}, at_ms(500));
+    CHECK(engine.wanted(at_ms(500)).empty());
+    CHECK(engine.wanted(at_ms(1'000)).empty());
+    engine.set_entries({lender_view(near_address, "dc", 3, 3)}, at_ms(1'001));
+    CHECK(engine.wanted(at_ms(1'001)).size() == 1);
+}
+
+TEST_CASE("a baseline without lending neither asks nor gives")
+{
+    auto engine = borrower("fixed_share_fifo");
+    engine.set_entries({lender_view(near_address, "dc", 3)}, at_ms(0));
+    queue_tasks(engine, 1, 5);
+    CHECK(engine.wanted(at_ms(0)).empty());
+    CHECK(engine.lend("s", 5, near_address, incarnation, at_ms(0)).empty());
+}
+
+TEST_CASE("nothing starts on a loan within the margin before its end")
+{
+    auto engine = borrower();
+    engine.set_entries({lender_view(near_address, "dc", 3)}, at_ms(0));
+    queue_tasks(engine, 1, 5);
+    engine.wanted(at_ms(0));
+    // The loan counts from the request, as the answer may have been slow.
+    std::vector<loan> const loans{{"e0", 0, milliseconds(200)},
+                                  {"e0", 1, milliseconds(30)}};
+    engine.borrowed(near_address, loans, at_ms(25));
+    auto const placed = engine.place(at_ms(25));
+    REQUIRE(placed.size() == 1);
+    CHECK(placed[0].borrowed);
+    CHECK(placed[0].slot == 0);
+    engine.finished(placed[0].task, task_result::ok, milliseconds(1),
+                    at_ms(190));
+    CHECK(engine.place(at_ms(190)).empty());
+    CHECK(engine.status(at_ms(190)).endpoints.at(0).borrowed_slots == 0);
+}
+
+TEST_CASE("a lender counts a slot as taken until the loan and a margin end")
+{
+    auto engine = lender();
+    auto const loans = engine.lend("s", 16, own_address, incarnation, at_ms(0));
+    REQUIRE(loans.size() == 16);
+    queue_tasks(engine, 1, 64);
+    CHECK(engine.place(at_ms(0)).size() == 48);
+    auto const end = at_ms(0) + loans[0].valid;
+    CHECK(engine.place(end).empty());
+    CHECK(engine.place(end + milliseconds(10)).size() == 16);
+}
+
+TEST_CASE("an entry never lends what it wants itself")
+{
+    auto engine = lender();
+    queue_tasks(engine, 1, 64);
+    CHECK(engine.load(at_ms(0)).at(0).idle_slots == 0);
+    CHECK(engine.lend("s", 16, own_address, incarnation, at_ms(0)).empty());
+    engine.cancel(1, at_ms(0));
+    auto const idle = engine.load(at_ms(0)).at(0).idle_slots;
+    CHECK(idle > 0);
+    CHECK(engine.lend("s", 64, own_address, incarnation, at_ms(0)).size() ==
+          idle);
+    CHECK(engine.lend("t", 1, own_address, incarnation, at_ms(0)).empty());
+}
+
+TEST_CASE("only the borrower of that incarnation gives slots back")
+{
+    auto engine = lender();
+    auto const loans = engine.lend("s", 4, own_address, incarnation, at_ms(0));
+    REQUIRE(loans.size() == 4);
+    engine.given_back(own_address, incarnation + 1, loans, at_ms(1));
+    engine.given_back(far_address, incarnation, loans, at_ms(1));
+    queue_tasks(engine, 1, 64);
+    CHECK(engine.place(at_ms(1)).size() == 60);
+    engine.given_back(own_address, incarnation, loans, at_ms(2));
+    engine.given_back(own_address, incarnation, {{"none", 0, {}}}, at_ms(2));
+    CHECK(engine.place(at_ms(2)).size() == 4);
+}
+
+TEST_CASE("unused loans go back to a lender that has tasks queued")
+{
+    auto engine = borrower();
+    engine.set_entries({lender_view(near_address, "dc", 8)}, at_ms(0));
+    queue_tasks(engine, 1, 2);
+    engine.wanted(at_ms(0));
+    engine.borrowed(
+        near_address,
+        {{"e0", 0, milliseconds(900)}, {"e1", 0, milliseconds(900)}}, at_ms(1));
+    engine.cancel(1, at_ms(1));
+    CHECK(engine.surplus(at_ms(1)).empty());
+    auto busy = lender_view(near_address, "dc", 0, 2);
+    busy.loads[0].queued_tasks = 5;
+    engine.set_entries({busy}, at_ms(100));
+    auto const back = engine.surplus(at_ms(100));
+    REQUIRE(back.size() == 1);
+    CHECK(back[0].lender == near_address);
+    CHECK(back[0].slots.size() == 2);
+    queue_tasks(engine, 2, 1, 101);
+    CHECK(engine.place(at_ms(101)).empty());
+}
+
+TEST_CASE("a refused slot is left alone for a while, the others are used")
+{
+    auto engine = *make_engine("lending", settings_of());
+    engine.configure(text_of(1, 2), at_ms(0));
+    queue_tasks(engine, 1, 1);
+    auto const start = engine.place(at_ms(0)).at(0);
+    engine.finished(start.task, task_result::refused_not_run, {}, at_ms(1));
+    CHECK(engine.requeue(start.task, at_ms(1)));
+    auto const again = engine.place(at_ms(1));
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].slot != start.slot);
+    CHECK(engine.next_event(at_ms(1)));
+}
+
+TEST_CASE("endpoints of a data centre without entries are shared by the rest")
+{
+    auto engine = borrower();
+    queue_tasks(engine, 1, 100);
+    CHECK(engine.place(at_ms(0)).size() == 64);
+    auto other = borrower();
+    other.set_entries({lender_view(near_address, "dc", 0)}, at_ms(0));
+    queue_tasks(other, 1, 100);
+    CHECK(other.place(at_ms(0)).empty());
+}
