Add the daemon: one request served from end to end

Cause: the parts need a process around them. masticshiftd takes jobs and requests over HTTP, decides by the submission table, places tasks by the placement engine, speaks to endpoints over HTTP and to peers in Thrift frames, and drains on SIGTERM.

--- a/cmake/masticshift_project.cmake
+++ b/cmake/masticshift_project.cmake
@@ -24,6 +24,7 @@
 add_library(masticshift_flags INTERFACE)
 target_compile_options(masticshift_flags INTERFACE
     -Wall -Wextra -Wpedantic -Wno-missing-field-initializers
+    -Wno-mismatched-new-delete
     $<$<CONFIG:Release>:-O2>)
 target_compile_definitions(masticshift_flags INTERFACE
     BOOST_ASIO_NO_DEPRECATED
--- /dev/null
+++ b/libs/daemon/src/answer.hpp
@@ -0,0 +1,38 @@
+#ifndef MASTICSHIFT_DAEMON_ANSWER_HPP
+#define MASTICSHIFT_DAEMON_ANSWER_HPP
+
+#include <homes/kept_answer.hpp>
+
+#include <core/result_code.hpp>
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace masticshift::daemon
+{
+
+constexpr std::string_view json_type = "application/json";
+
+/// The answer to an error, in the form of docs/API.md.
+homes::answer_ptr make_error_answer(std::string_view id, result_code code,
+                                    ran_state ran, std::string_view detail);
+
+/// The answer to a job whose tasks have all ended well.
+homes::answer_ptr make_job_answer(std::string_view id,
+                                  std::vector<std::string> const& outputs);
+
+/// The answer to a request whose task has ended well.
+homes::answer_ptr make_request_answer(std::string output,
+                                      std::string content_type);
+
+/// Says that the job still runs.
+homes::answer_ptr make_running_answer(std::string_view id);
+
+/// The output of a task as a JSON value: as it is when it is JSON, else as a
+/// string.
+std::string to_json_value(std::string output);
+
+} // namespace masticshift::daemon
+
+#endif
--- /dev/null
+++ b/libs/daemon/src/entry.cpp
@@ -0,0 +1,302 @@
+#include <daemon/entry.hpp>
+
+#include "caller_api.hpp"
+#include "configuration_holder.hpp"
+#include "drain.hpp"
+#include "entry_state.hpp"
+#include "job_runner.hpp"
+#include "lending.hpp"
+#include "operator_api.hpp"
+#include "peer_api.hpp"
+#include "peer_watch.hpp"
+#include "platform_watch.hpp"
+#include "submission_service.hpp"
+
+#include <core/log.hpp>
+#include <daemon/supervisor.hpp>
+#include <peer_link/peer_client.hpp>
+#include <peer_link/peer_server.hpp>
+#include <transport/http_client.hpp>
+#include <transport/http_server.hpp>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace masticshift::daemon
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+
+constexpr auto as_values = asio::as_tuple(asio::use_awaitable);
+
+constexpr milliseconds upkeep_interval{500};
+
+/// Left for answers that are being written when a drain ends.
+constexpr milliseconds answer_time{200};
+
+transport::http_server_limits
+make_server_limits(config::limit_settings const& settings)
+{
+    transport::http_server_limits limits;
+    limits.max_body_bytes = settings.max_body_bytes;
+    limits.max_header_bytes = settings.max_header_bytes;
+    limits.max_connections = settings.max_connections;
+    limits.request_read = settings.request_read;
+    limits.idle = settings.idle_connection;
+    return limits;
+}
+
+transport::http_client_limits
+make_client_limits(config::limit_settings const& settings)
+{
+    transport::http_client_limits limits;
+    limits.max_body_bytes = settings.max_answer_bytes;
+    limits.max_header_bytes = settings.max_header_bytes;
+    limits.connect = settings.connect;
+    limits.idle = settings.idle_endpoint_connection;
+    return limits;
+}
+
+peer_link::peer_client_limits
+make_peer_limits(config::peer_settings const& settings)
+{
+    peer_link::peer_client_limits limits;
+    limits.connect = settings.call_timeout;
+    return limits;
+}
+
+} // namespace
+
+/// Builds the parts in the order of their dependencies and connects them.
+class entry::impl
+{
+public:
+    impl(asio::any_io_executor executor, config::daemon_settings settings)
+        : executor_(executor),
+          state_(std::move(settings)),
+          endpoint_client_(executor,
+                           make_client_limits(state_.settings.limits)),
+          platform_client_(executor,
+                           make_client_limits(state_.settings.limits)),
+          peer_client_(executor, make_peer_limits(state_.settings.peers),
+                       state_.self.incarnation),
+          lending_(executor, state_, peer_client_),
+          runner_(executor, state_.engine, endpoint_client_, state_.metrics,
+                  make_hooks()),
+          submissions_(executor, state_, runner_, peer_client_),
+          holder_(state_, runner_),
+          watch_(executor, state_, runner_, holder_, peer_client_),
+          platform_watch_(state_, holder_, platform_client_,
+                          [this](platform::vm_list const& vms)
+                          {
+                              watch_.take_vms(vms, steady_clock::now());
+                          }),
+          caller_api_(state_, submissions_),
+          peer_api_(state_, submissions_, runner_,
+                    [this](wire::heartbeat const& heartbeat)
+                    {
+                        watch_.hear(heartbeat, steady_clock::now());
+                    }),
+          root_(executor, "entry"),
+          operator_api_(make_sources()),
+          caller_server_(
+              executor, make_server_limits(state_.settings.limits),
+              [this](transport::http_request request)
+              {
+                  return caller_api_.handle(std::move(request));
+              },
+              [this](failure const& error)
+              {
+                  return caller_api_.answer_error(error);
+              }),
+          operator_server_(
+              executor, make_server_limits(state_.settings.limits),
+              [this](transport::http_request request)
+              {
+                  return operator_api_.handle(std::move(request));
+              },
+              operator_api::answer_error),
+          peer_server_(executor, {},
+                       [this](wire::message call)
+                       {
+                           return peer_api_.handle(std::move(call));
+                       })
+    {
+        lending_.connect(runner_);
+    }
+
+    outcome<void> start(std::function<void()> stopped)
+    {
+        stopped_ = std::move(stopped);
+        auto const& addresses = state_.settings.entry;
+        auto opened = peer_server_.listen(addresses.peer_address.ip,
+                                          addresses.peer_address.port);
+        if (opened)
+            opened = operator_server_.listen(addresses.operator_address.ip,
+                                             addresses.operator_address.port);
+        if (opened)
+            opened = caller_server_.listen(addresses.caller_address.ip,
+                                           addresses.caller_address.port);
+        if (!opened)
+            return opened;
+        start_loops();
+        log_start();
+        return {};
+    }
+
+    void drain()
+    {
+        if (state_.draining)
+            return;
+        state_.draining = true;
+        asio::co_spawn(executor_, run_drain(), asio::detached);
+    }
+
+private:
+    job_runner::hooks make_hooks()
+    {
+        job_runner::hooks hooks;
+        hooks.ended = [this](job& ended)
+        {
+            submissions_.keep_answer(ended);
+        };
+        hooks.borrow = [this](placement::borrow_request request)
+        {
+            lending_.borrow(std::move(request));
+        };
+        hooks.give_back = [this](placement::give_back returned)
+        {
+            lending_.give_back(std::move(returned));
+        };
+        return hooks;
+    }
+
+    operator_api::sources make_sources()
+    {
+        return {state_,
+                runner_,
+                root_,
+                peer_client_,
+                peer_server_,
+                [this]
+                {
+                    return watch_.describe(steady_clock::now());
+                },
+                [this]
+                {
+                    drain();
+                }};
+    }
+
+    void start_loops()
+    {
+        auto& control = root_.add_supervisor("control");
+        control.add("platform",
+                    [this]
+                    {
+                        return platform_watch_.run();
+                    });
+        control.add("peers",
+                    [this]
+                    {
+                        return watch_.run();
+                    });
+        auto& upkeep = root_.add_supervisor("upkeep");
+        upkeep.add("tables",
+                   [this]
+                   {
+                       return keep_tables();
+                   });
+    }
+
+    void log_start() const
+    {
+        auto const& settings = state_.settings.entry;
+        boost::json::object fields;
+        fields["incarnation"] =
+            static_cast<std::int64_t>(state_.self.incarnation);
+        fields["caller_address"] = config::to_string(settings.caller_address);
+        fields["data_centre"] = settings.data_centre;
+        log_event(log_level::info, "entry_started", std::move(fields));
+    }
+
+    asio::awaitable<void> keep_tables()
+    {
+        asio::steady_timer timer(executor_);
+        while (true)
+        {
+            auto const now = steady_clock::now();
+            state_.table.rotate(now);
+            state_.inherited.expire(now);
+            state_.router.expire(now);
+            endpoint_client_.close_idle(now);
+            timer.expires_after(upkeep_interval);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+    }
+
+    asio::awaitable<void> run_drain()
+    {
+        masticshift::daemon::drain graceful(executor_, state_, runner_, watch_,
+                                            peer_client_);
+        co_await graceful.run();
+        caller_server_.close_gracefully();
+        asio::steady_timer timer(executor_, answer_time);
+        co_await timer.async_wait(as_values);
+        root_.stop();
+        boost::json::object fields;
+        fields["cut"] =
+            state_.metrics.caller_calls - state_.metrics.caller_answers;
+        log_event(log_level::info, "stopped", std::move(fields));
+        caller_server_.stop();
+        operator_server_.stop();
+        peer_server_.stop();
+        peer_client_.stop();
+        stopped_();
+    }
+
+    asio::any_io_executor executor_;
+    std::function<void()> stopped_;
+    entry_state state_;
+    transport::http_client endpoint_client_;
+    transport::http_client platform_client_;
+    peer_link::peer_client peer_client_;
+    lending lending_;
+    job_runner runner_;
+    submission_service submissions_;
+    configuration_holder holder_;
+    peer_watch watch_;
+    platform_watch platform_watch_;
+    caller_api caller_api_;
+    peer_api peer_api_;
+    supervisor root_;
+    operator_api operator_api_;
+    transport::http_server caller_server_;
+    transport::http_server operator_server_;
+    peer_link::peer_server peer_server_;
+};
+
+entry::entry(asio::any_io_executor executor, config::daemon_settings settings)
+    : impl_(std::make_unique<impl>(std::move(executor), std::move(settings)))
+{
+}
+
+entry::~entry() = default;
+
+outcome<void> entry::start(std::function<void()> stopped)
+{
+    return impl_->start(std::move(stopped));
+}
+
+void entry::drain()
+{
+    impl_->drain();
+}
+
+} // namespace masticshift::daemon
--- /dev/null
+++ b/libs/daemon/src/entry_metrics.hpp
@@ -0,0 +1,31 @@
+#ifndef MASTICSHIFT_DAEMON_ENTRY_METRICS_HPP
+#define MASTICSHIFT_DAEMON_ENTRY_METRICS_HPP
+
+#include <cstdint>
+
+namespace masticshift::daemon
+{
+
+/// What one entry counts. Messages are counted where they are sent.
+struct entry_metrics
+{
+    std::uint64_t caller_calls = 0;
+    std::uint64_t caller_answers = 0;
+    std::uint64_t task_calls = 0;
+    std::uint64_t task_answers = 0;
+    std::uint64_t cancellations = 0;
+    std::uint64_t answer_queries = 0;
+    std::uint64_t platform_calls = 0;
+
+    std::uint64_t jobs_started = 0;
+    std::uint64_t jobs_ok = 0;
+    std::uint64_t jobs_failed = 0;
+    std::uint64_t jobs_refused = 0;
+    std::uint64_t resubmissions = 0;
+    std::uint64_t requests_retried = 0;
+    std::uint64_t tasks_placed_anew = 0;
+};
+
+} // namespace masticshift::daemon
+
+#endif
--- /dev/null
+++ b/libs/daemon/src/entry_state.hpp
@@ -0,0 +1,46 @@
+#ifndef MASTICSHIFT_DAEMON_ENTRY_STATE_HPP
+#define MASTICSHIFT_DAEMON_ENTRY_STATE_HPP
+
+#include "entry_metrics.hpp"
+
+#include <config/daemon_settings.hpp>
+#include <config/service_text.hpp>
+#include <homes/inherited_tables.hpp>
+#include <homes/submission_router.hpp>
+#include <homes/submission_table.hpp>
+#include <placement/any_engine.hpp>
+
+#include <memory>
+
+namespace masticshift::daemon
+{
+
+/// The deciding parts of one entry, which its services share. Used on one
+/// thread.
+struct entry_state
+{
+    explicit entry_state(config::daemon_settings chosen);
+
+    entry_state(entry_state const&) = delete;
+    entry_state& operator=(entry_state const&) = delete;
+
+    config::daemon_settings settings;
+    homes::process_name self;
+    homes::submission_table table;
+    homes::inherited_tables inherited;
+    homes::submission_router router;
+    placement::any_engine engine;
+    entry_metrics metrics;
+    /// The configuration in force. Null until there is one.
+    std::shared_ptr<config::service_text const> configuration;
+    bool draining = false;
+
+    bool ready() const
+    {
+        return configuration != nullptr && !draining;
+    }
+};
+
+} // namespace masticshift::daemon
+
+#endif
--- /dev/null
+++ b/libs/daemon/src/lending.hpp
@@ -0,0 +1,41 @@
+#ifndef MASTICSHIFT_DAEMON_LENDING_HPP
+#define MASTICSHIFT_DAEMON_LENDING_HPP
+
+#include "entry_state.hpp"
+#include "job_runner.hpp"
+
+#include <peer_link/peer_client.hpp>
+
+#include <boost/asio/awaitable.hpp>
+
+namespace masticshift::daemon
+{
+
+/// Makes the borrow and give-back calls that the placement engine asks for.
+class lending
+{
+public:
+    lending(boost::asio::any_io_executor executor, entry_state& state,
+            peer_link::peer_client& peers);
+
+    /// To be set before the first call: told when loans have arrived.
+    void connect(job_runner& runner);
+
+    void borrow(placement::borrow_request request);
+    void give_back(placement::give_back returned);
+
+private:
+    boost::asio::awaitable<void> call_lender(placement::borrow_request request);
+    boost::asio::awaitable<void> return_loans(placement::give_back returned);
+    void take(placement::borrow_request const& request,
+              std::vector<placement::loan> const& loans);
+
+    boost::asio::any_io_executor executor_;
+    entry_state& state_;
+    peer_link::peer_client& peers_;
+    job_runner* runner_ = nullptr;
+};
+
+} // namespace masticshift::daemon
+
+#endif
--- /dev/null
+++ b/libs/daemon/src/submission_service.cpp
@@ -0,0 +1,343 @@
+#include "submission_service.hpp"
+
+#include "answer.hpp"
+
+#include <core/log.hpp>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <random>
+
+namespace masticshift::daemon
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+using homes::call_origin;
+using homes::decision_kind;
+using homes::route_kind;
+
+constexpr auto as_values = asio::as_tuple(asio::use_awaitable);
+
+/// A forwarded call may take this much longer than the home itself allows, so
+/// that the home's own answer arrives first.
+constexpr milliseconds forward_margin{2'000};
+
+/// Allowed for a forwarded submission that names no timeout: the home knows
+/// the service's own, which this entry may not.
+constexpr milliseconds unknown_timeout = max_timeout;
+
+std::string make_nonce()
+{
+    constexpr std::string_view digits = "0123456789abcdef";
+    constexpr int length = 32;
+    static std::random_device source;
+    std::string nonce;
+    for (int i = 0; i < length; ++i)
+        nonce += digits[source() % digits.size()];
+    return nonce;
+}
+
+call_answer refusal(std::string id, result_code code, ran_state ran,
+                    std::string_view detail)
+{
+    boost::json::object fields;
+    fields["id"] = id;
+    fields["code"] = static_cast<int>(code);
+    fields["ran"] = name_of(ran);
+    fields["reason"] = detail;
+    log_event(log_level::info, "job_refused", std::move(fields));
+    auto answer = make_error_answer(id, code, ran, detail);
+    return {std::move(id), std::move(answer)};
+}
+
+call_answer refusal(std::string id, homes::admission_decision const& decision)
+{
+    return refusal(std::move(id), decision.code, decision.ran, decision.detail);
+}
+
+/// The answer where nobody can be asked. This call started nothing.
+call_answer unreachable(std::string id)
+{
+    return refusal(std::move(id), result_code::home_unreachable,
+                   ran_state::unknown, "the home of this id is gone");
+}
+
+/// An id that can't be parsed names no submission, so that none ever ran.
+call_answer bad_id(std::string id, failure const& error)
+{
+    return refusal(std::move(id), error.code, ran_state::not_run, error.detail);
+}
+
+void log_route(std::string_view id, homes::route const& chosen)
+{
+    if (!log_enabled(log_level::info))
+        return;
+    boost::json::object fields;
+    fields["id"] = id;
+    fields["route"] = homes::name_of(chosen.kind);
+    fields["address"] = chosen.address;
+    log_event(log_level::info, "call_routed", std::move(fields));
+}
+
+wire::forward make_forward(submission_call call, std::string id)
+{
+    wire::forward message;
+    message.__set_kind(wire::forward_kind::submit);
+    message.__set_id(std::move(id));
+    message.__set_body(std::move(call.body));
+    message.__set_request_service(std::move(call.service));
+    message.__set_idempotent(call.idempotent);
+    message.__set_timeout_ms(static_cast<std::int32_t>(call.timeout.count()));
+    return message;
+}
+
+call_answer take_reply(std::string id, wire::forward_reply reply)
+{
+    homes::kept_answer answer;
+    answer.code =
+        result_code_of(reply.code).value_or(result_code::peer_protocol);
+    answer.ran = ran_state_of(reply.ran).value_or(ran_state::unknown);
+    answer.http_status = static_cast<unsigned>(reply.http_status);
+    answer.body = std::move(reply.body);
+    answer.content_type = std::move(reply.content_type);
+    return {std::move(id),
+            std::make_shared<homes::kept_answer const>(std::move(answer))};
+}
+
+} // namespace
+
+submission_service::submission_service(asio::any_io_executor executor,
+                                       entry_state& state, job_runner& runner,
+                                       peer_link::peer_client& peers)
+    : executor_(std::move(executor)),
+      state_(state),
+      runner_(runner),
+      peers_(peers)
+{
+}
+
+homes::submission_id submission_service::mint_id()
+{
+    return {state_.table.current_token(), make_nonce()};
+}
+
+asio::awaitable<call_answer> submission_service::submit(submission_call call,
+                                                        call_origin origin)
+{
+    auto parsed = parse_submission(call, state_.settings.limits.max_tasks);
+    if (!parsed)
+        co_return refusal(call.id, parsed.error().code, ran_state::unknown,
+                          parsed.error().detail);
+    if (parsed->id.empty() && !parsed->key.empty())
+        co_return refusal({}, result_code::home_required, ran_state::not_run,
+                          homes::to_string(state_.table.current_token()));
+    if (parsed->id.empty())
+        parsed->id = homes::to_string(mint_id());
+    auto const id = homes::parse_submission_id(parsed->id);
+    if (!id)
+        co_return bad_id(parsed->id, id.error());
+    auto const route = state_.router.find_route(*id, origin);
+    log_route(parsed->id, route);
+    if (route.kind == route_kind::local)
+        co_return co_await submit_local(std::move(*parsed), *id);
+    if (route.kind == route_kind::unknown_home)
+        co_return unreachable(parsed->id);
+    if (route.kind == route_kind::inherited)
+    {
+        auto const decision = state_.inherited.find(*id, parsed->digest);
+        if (decision.kind == decision_kind::answered)
+            co_return call_answer{parsed->id, decision.answer};
+        co_return refusal(parsed->id, decision);
+    }
+    auto const named = parsed->timeout;
+    auto const timeout = named.count() > 0 ? named : unknown_timeout;
+    auto message = make_forward(std::move(call), parsed->id);
+    co_return co_await forward(route.address, std::move(message), timeout);
+}
+
+asio::awaitable<call_answer>
+submission_service::submit_local(submission what, homes::submission_id id)
+{
+    auto const now = steady_clock::now();
+    auto const id_text = what.id;
+    auto const decision = state_.table.admit(id, what.digest, now);
+    if (decision.kind == decision_kind::refused)
+        co_return refusal(id_text, decision);
+    if (decision.kind == decision_kind::answered)
+    {
+        ++state_.metrics.resubmissions;
+        co_return call_answer{id_text, decision.answer};
+    }
+    job_ptr running;
+    if (decision.kind == decision_kind::attach)
+    {
+        ++state_.metrics.resubmissions;
+        running = running_.at(decision.number);
+    }
+    else
+    {
+        running = start(std::move(what), id, decision.number, now);
+    }
+    co_await wait_for_end(running);
+    co_return call_answer{id_text, running->answer};
+}
+
+job_ptr submission_service::start(submission what,
+                                  homes::submission_id const& id,
+                                  homes::submission_number number,
+                                  time_point now)
+{
+    auto const started = std::make_shared<job>(executor_, std::move(what));
+    started->id = id;
+    started->id_text = started->what.id;
+    started->table_number = number;
+    started->deadline = now + timeout_of(started->what);
+    running_[number] = started;
+    if (!state_.configuration)
+    {
+        runner_.refuse(*started, result_code::not_ready,
+                       "the entry has no configuration yet");
+        return started;
+    }
+    auto const& text = *state_.configuration;
+    started->revision = text.revision;
+    auto const service = text.services.find(started->what.service);
+    if (service != text.services.end())
+        started->recoverable = service->second.recoverable;
+    runner_.start(started, now);
+    return started;
+}
+
+milliseconds submission_service::timeout_of(submission const& what) const
+{
+    if (what.timeout.count() > 0)
+        return what.timeout;
+    if (state_.configuration)
+    {
+        auto const& services = state_.configuration->services;
+        auto const service = services.find(what.service);
+        if (service != services.end())
+            return service->second.timeout;
+    }
+    return config::service_config{}.timeout;
+}
+
+void submission_service::keep_answer(job& ended)
+{
+    state_.table.finish(ended.id, ended.answer, steady_clock::now());
+    running_.erase(ended.table_number);
+}
+
+asio::awaitable<call_answer> submission_service::forward(std::string address,
+                                                         wire::forward call,
+                                                         duration answer_time)
+{
+    auto id = call.id;
+    auto const peer = config::parse_socket_address(address);
+    if (!peer)
+        co_return unreachable(std::move(id));
+    auto const deadline = steady_clock::now() + answer_time + forward_margin;
+    auto message = peer_link::make_message(std::move(call));
+    auto result = co_await peers_.call(*peer, std::move(message), deadline);
+    if (result)
+        co_return take_reply(std::move(id), result->forward_answer);
+    auto const& failed = result.error();
+    if (!failed.sent)
+        co_return refusal(std::move(id), result_code::home_unreachable,
+                          ran_state::unknown, failed.error.detail);
+    co_return refusal(std::move(id), result_code::outcome_unknown,
+                      ran_state::unknown,
+                      "the home did not answer: " + failed.error.detail);
+}
+
+asio::awaitable<call_answer> submission_service::fetch(std::string id_text,
+                                                       milliseconds wait,
+                                                       call_origin origin)
+{
+    auto const id = homes::parse_submission_id(id_text);
+    if (!id)
+        co_return bad_id(id_text, id.error());
+    auto const route = state_.router.find_route(*id, origin);
+    log_route(id_text, route);
+    if (route.kind == route_kind::unknown_home)
+        co_return unreachable(id_text);
+    if (route.kind == route_kind::forward)
+    {
+        wire::forward message;
+        message.__set_kind(wire::forward_kind::fetch);
+        message.__set_id(id_text);
+        message.__set_wait_ms(static_cast<std::int32_t>(wait.count()));
+        co_return co_await forward(route.address, std::move(message), wait);
+    }
+    auto const decision = route.kind == route_kind::local
+                              ? state_.table.find(*id)
+                              : state_.inherited.find(*id);
+    if (decision.kind == decision_kind::answered)
+        co_return call_answer{id_text, decision.answer};
+    if (decision.kind == decision_kind::refused)
+        co_return refusal(id_text, decision);
+    auto const running = running_.at(decision.number);
+    co_await wait_for_end(running, wait);
+    auto const answer =
+        running->has_ended() ? running->answer : make_running_answer(id_text);
+    co_return call_answer{id_text, answer};
+}
+
+asio::awaitable<call_answer> submission_service::cancel(std::string id_text,
+                                                        call_origin origin)
+{
+    auto const id = homes::parse_submission_id(id_text);
+    if (!id)
+        co_return bad_id(id_text, id.error());
+    auto const route = state_.router.find_route(*id, origin);
+    log_route(id_text, route);
+    if (route.kind == route_kind::unknown_home)
+        co_return unreachable(id_text);
+    if (route.kind == route_kind::forward)
+    {
+        wire::forward message;
+        message.__set_kind(wire::forward_kind::cancel);
+        message.__set_id(id_text);
+        co_return co_await forward(route.address, std::move(message),
+                                   duration::zero());
+    }
+    auto const decision = route.kind == route_kind::local
+                              ? state_.table.find(*id)
+                              : state_.inherited.find(*id);
+    if (decision.kind == decision_kind::answered)
+        co_return call_answer{id_text, decision.answer};
+    if (decision.kind == decision_kind::refused)
+        co_return refusal(id_text, decision);
+    auto const running = running_.at(decision.number);
+    runner_.cancel(*running, steady_clock::now());
+    co_return call_answer{id_text, running->answer};
+}
+
+asio::awaitable<void> submission_service::wait_for_end(job_ptr running)
+{
+    while (!running->has_ended())
+        co_await running->ended_event.async_wait(as_values);
+}
+
+asio::awaitable<void> submission_service::wait_for_end(job_ptr running,
+                                                       milliseconds limit)
+{
+    // Watches the event with a timer of its own: cancelling a wait on the
+    // event would wake everybody who waits for the job.
+    auto const limit_timer =
+        std::make_shared<asio::steady_timer>(executor_, limit);
+    if (running->has_ended())
+        co_return;
+    running->ended_event.async_wait(
+        [limit_timer](boost::system::error_code)
+        {
+            limit_timer->cancel();
+        });
+    co_await limit_timer->async_wait(as_values);
+}
+
+} // namespace masticshift::daemon
--- a/libs/peer_link/idl/masticshift.thrift
+++ b/libs/peer_link/idl/masticshift.thrift
@@ -126,6 +126,8 @@
   5: i32 part
   6: bool last
   7: list<handover_record> records
+  // Records of the whole table.
+  8: i32 record_count
 }
 
 struct handover_reply {
--- /dev/null
+++ b/tools/masticshiftd/src/main.cpp
@@ -0,0 +1,72 @@
+#include <config/daemon_settings.hpp>
+#include <core/log.hpp>
+#include <daemon/entry.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <gflags/gflags.h>
+
+#include <csignal>
+#include <iostream>
+
+DEFINE_string(settings, "", "file with the settings, TOML");
+DEFINE_bool(check, false, "check the settings and exit");
+
+namespace
+{
+
+namespace asio = boost::asio;
+using namespace masticshift;
+
+int report(failure const& error)
+{
+    std::cerr << "masticshiftd: " << static_cast<int>(error.code) << " "
+              << error << "\n"
+              << info_of(error.code).advice << "\n";
+    return exit_code_of(error.code);
+}
+
+int run(config::daemon_settings settings)
+{
+    // One thread: the deciding parts need no locks.
+    constexpr int threads = 1;
+    asio::io_context context(threads);
+    daemon::entry entry(context.get_executor(), std::move(settings));
+    auto const started = entry.start(
+        [&context]
+        {
+            context.stop();
+        });
+    if (!started)
+        return report(started.error());
+    asio::signal_set signals(context, SIGTERM, SIGINT);
+    signals.async_wait(
+        [&entry](boost::system::error_code error, int)
+        {
+            if (!error)
+                entry.drain();
+        });
+    std::cout << "ready" << std::endl;
+    context.run();
+    return exit_code_of(result_code::ok);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage("one entry of the masticshift dispatcher");
+    gflags::SetVersionString(MASTICSHIFT_VERSION);
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (FLAGS_settings.empty())
+        return report({result_code::usage, "--settings is missing"});
+    auto settings = config::load_daemon_settings(FLAGS_settings);
+    if (!settings)
+        return report(settings.error());
+    if (FLAGS_check)
+        return exit_code_of(result_code::ok);
+    if (settings->log.source.empty())
+        settings->log.source = config::to_string(settings->entry.peer_address);
+    configure_log(settings->log);
+    return run(std::move(*settings));
+}
