Add the platform stand-in

Cause: tests and the demo need the platform's table, objects and VM list with their outages, delays, lost requests and lost answers.

`platform_standin` serves the protocol of docs/PLATFORM.md from memory and writes committed transactions, lost answers and lost requests as JSON lines.

Ruled out: a test that starts the program; the service behind a real server in one io_context needs no ports and no waiting for a process to come up.

--- /dev/null
+++ b/tools/platform_standin/src/history_file.cpp
@@ -0,0 +1,43 @@
+#include "history_file.hpp"
+
+#include <boost/json/serialize.hpp>
+
+#include <chrono>
+
+namespace platform_standin
+{
+
+namespace
+{
+
+std::int64_t wall_microseconds()
+{
+    auto const now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::microseconds>(now).count();
+}
+
+} // namespace
+
+masticshift::outcome<void> history_file::open(std::string const& path)
+{
+    if (path.empty())
+        return {};
+    file_.open(path, std::ios::app);
+    if (!file_)
+    {
+        return masticshift::failure{masticshift::result_code::io_error,
+                                    "cannot write " + path};
+    }
+    return {};
+}
+
+void history_file::write(std::string_view event, boost::json::object fields)
+{
+    if (!file_.is_open())
+        return;
+    fields["us"] = wall_microseconds();
+    fields["event"] = event;
+    file_ << boost::json::serialize(fields) << std::endl;
+}
+
+} // namespace platform_standin
--- /dev/null
+++ b/tools/platform_standin/src/platform_service.hpp
@@ -0,0 +1,58 @@
+#ifndef PLATFORM_STANDIN_PLATFORM_SERVICE_HPP
+#define PLATFORM_STANDIN_PLATFORM_SERVICE_HPP
+
+#include "fault_control.hpp"
+#include "history_file.hpp"
+#include "table_store.hpp"
+#include "vm_history.hpp"
+
+#include <core/time.hpp>
+#include <transport/http_message.hpp>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <map>
+#include <optional>
+#include <string>
+
+namespace platform_standin
+{
+
+namespace transport = masticshift::transport;
+
+/// Answers the calls of docs/PLATFORM.md, with the faults that are asked for.
+class platform_service
+{
+public:
+    /// The history must outlive the service.
+    explicit platform_service(history_file& history);
+
+    /// Gives nothing where the answer is to be lost.
+    boost::asio::awaitable<std::optional<transport::http_response>>
+    handle(transport::http_request request);
+
+private:
+    using maybe_response = std::optional<transport::http_response>;
+
+    transport::http_response change_control(std::string const& body,
+                                            masticshift::time_point now);
+    maybe_response answer(transport::http_request const& request,
+                          masticshift::time_point now);
+    maybe_response answer_write(transport::http_request const& request);
+
+    transport::http_response read_entry(std::string_view path) const;
+    transport::http_response read_object(std::string_view path) const;
+    transport::http_response read_vms(masticshift::time_point now) const;
+    transport::http_response commit(transport::http_request const& request);
+    transport::http_response put_object(transport::http_request const& request);
+
+    history_file& history_;
+    fault_control control_;
+    table_store tables_;
+    std::map<std::string, std::string> objects_;
+    vm_history vms_;
+};
+
+} // namespace platform_standin
+
+#endif
--- /dev/null
+++ b/tools/platform_standin/src/table_store.cpp
@@ -0,0 +1,41 @@
+#include "table_store.hpp"
+
+namespace platform_standin
+{
+
+std::optional<platform::table_entry>
+table_store::read(platform::table_key const& key) const
+{
+    auto const found = slots_.find(key);
+    if (found == slots_.end() || !found->second.value)
+        return std::nullopt;
+    return platform::table_entry{found->second.writes, *found->second.value};
+}
+
+commit_result table_store::commit(platform::transaction const& request)
+{
+    commit_result result;
+    for (auto const& check : request.checks)
+    {
+        auto const version = version_of(check.key);
+        if (version != check.version)
+            result.conflicts.push_back({check.key, version});
+    }
+    if (!result.conflicts.empty())
+        return result;
+    for (auto const& write : request.writes)
+    {
+        auto& slot = slots_[write.key];
+        slot.value = write.value;
+        result.versions.push_back(++slot.writes);
+    }
+    return result;
+}
+
+std::uint64_t table_store::version_of(platform::table_key const& key) const
+{
+    auto const entry = read(key);
+    return entry ? entry->version : 0;
+}
+
+} // namespace platform_standin
--- /dev/null
+++ b/tools/platform_standin/src/transaction_body.hpp
@@ -0,0 +1,30 @@
+#ifndef PLATFORM_STANDIN_TRANSACTION_BODY_HPP
+#define PLATFORM_STANDIN_TRANSACTION_BODY_HPP
+
+#include "table_store.hpp"
+
+#include <core/outcome.hpp>
+#include <platform/table.hpp>
+
+#include <boost/json/array.hpp>
+
+#include <string>
+#include <string_view>
+
+namespace platform_standin
+{
+
+/// Reads the body of `POST /v1/transactions`.
+masticshift::outcome<platform::transaction>
+parse_transaction(std::string_view body);
+
+boost::json::array
+conflict_rows(std::vector<platform::version_check> const& conflicts);
+
+/// The writes with the versions that they made, for the history.
+boost::json::array write_rows(platform::transaction const& request,
+                              std::vector<std::uint64_t> const& versions);
+
+} // namespace platform_standin
+
+#endif
