--- a/libs/placement/include/placement/task.hpp
+++ b/libs/placement/include/placement/task.hpp
@@ -19,7 +19,11 @@
     std::uint64_t job = 0;
     std::uint32_t task = 0;
 
-    friend auto operator<=>(task_ref const&, task_ref const&) = default;
+    friend bool operator==(task_ref const&, task_ref const&) = default;
+    friend bool operator<(task_ref const& a, task_ref const& b)
+    {
+        return a.job != b.job ? a.job < b.job : a.task < b.task;
+    }
 };
 
 /// A job to be admitted.
--- a/libs/placement/src/job_state.cpp
+++ b/libs/placement/src/job_state.cpp
@@ -7,11 +7,11 @@
 namespace masticshift::placement
 {
 
-job_state::job_state(std::uint64_t id_, service_state& service_,
-                     std::vector<task_state> tasks_, bool longest_first)
-    : id(id_),
-      service(service_),
-      tasks(std::move(tasks_)),
+job_state::job_state(std::uint64_t number, service_state& owner,
+                     std::vector<task_state> all, bool longest_first)
+    : id(number),
+      service(owner),
+      tasks(std::move(all)),
       order_(tasks.size()),
       end_(static_cast<std::uint32_t>(tasks.size()))
 {
--- a/libs/placement/src/job_state.hpp
+++ b/libs/placement/src/job_state.hpp
@@ -42,8 +42,8 @@
 public:
     using queue = job_queue<job_state>;
 
-    job_state(std::uint64_t id, service_state& service,
-              std::vector<task_state> tasks, bool longest_first);
+    job_state(std::uint64_t number, service_state& owner,
+              std::vector<task_state> all, bool longest_first);
 
     /// The queued task that is to start first, the longest when these are
     /// ordered so. Some task must be queued.
--- a/libs/placement/src/loan_book.cpp
+++ b/libs/placement/src/loan_book.cpp
@@ -79,7 +79,7 @@
     auto const idle = idle_slots(service);
     auto const given = std::min(count, idle);
     // Fast and slow slots alike: every nth idle slot from the fastest on.
-    unsigned passed = 0;
+    std::size_t passed = 0;
     for (auto const index : service.by_rank)
     {
         auto& member = service.members[index];
--- a/libs/placement/src/service_state.cpp
+++ b/libs/placement/src/service_state.cpp
@@ -27,10 +27,10 @@
 
 } // namespace
 
-service_state::service_state(config::service_config config_,
+service_state::service_state(config::service_config configured,
                              std::vector<endpoint_state*> const& endpoints,
                              job_order order, engine_settings const& settings)
-    : config(std::move(config_)),
+    : config(std::move(configured)),
       by_rank(endpoints.size()),
       queue(order, settings.ageing),
       model(config.run_time),
--- a/libs/placement/src/service_state.hpp
+++ b/libs/placement/src/service_state.hpp
@@ -43,7 +43,7 @@
 class service_state
 {
 public:
-    service_state(config::service_config config,
+    service_state(config::service_config configured,
                   std::vector<endpoint_state*> const& endpoints,
                   job_order order, engine_settings const& settings);
 
--- a/libs/placement/tests/engine_property_test.cpp
+++ b/libs/placement/tests/engine_property_test.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <map>
 #include <set>
+#include <tuple>
 
 using namespace masticshift;
 using namespace masticshift::placement;
@@ -21,7 +22,12 @@
 {
     std::string endpoint;
     unsigned slot = 0;
-    auto operator<=>(slot_key const&) const = default;
+
+    friend bool operator==(slot_key const&, slot_key const&) = default;
+    friend bool operator<(slot_key const& a, slot_key const& b)
+    {
+        return std::tie(a.endpoint, a.slot) < std::tie(b.endpoint, b.slot);
+    }
 };
 
 struct running_task
@@ -124,10 +130,9 @@
 
     void admit(unsigned engine)
     {
-        auto const count = *rc::gen::inRange(1, 9);
-        std::vector<float> sizes;
-        for (int i = 0; i < count; ++i)
-            sizes.push_back(static_cast<float>(*rc::gen::inRange(1, 30)) / 10);
+        std::vector<float> sizes(*rc::gen::inRange<std::size_t>(1, 9));
+        for (auto& size : sizes)
+            size = static_cast<float>(*rc::gen::inRange(1, 30)) / 10;
         auto const answer =
             engines_[engine].admit(job_of(++jobs_, sizes), now());
         RC_ASSERT(answer.accepted());
