--- /dev/null
+++ b/libs/membership/include/membership/configuration_tracker.hpp
@@ -0,0 +1,102 @@
+#ifndef MASTICSHIFT_MEMBERSHIP_CONFIGURATION_TRACKER_HPP
+#define MASTICSHIFT_MEMBERSHIP_CONFIGURATION_TRACKER_HPP
+
+#include <core/time.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace masticshift::membership
+{
+
+/// Where a configuration text can be fetched from.
+struct configuration_source
+{
+    /// The platform's table when empty.
+    std::string peer;
+
+    bool is_platform() const
+    {
+        return peer.empty();
+    }
+
+    friend auto operator<=>(configuration_source const&,
+                            configuration_source const&) = default;
+};
+
+/// The next text to fetch.
+struct configuration_fetch
+{
+    configuration_source source;
+    /// Revision that the source has shown.
+    std::uint64_t revision = 0;
+};
+
+/// Knows the revision in force, and what others have shown. The revision in
+/// force never goes down.
+class configuration_tracker
+{
+public:
+    /// A source showed that it has this revision.
+    void seen(configuration_source const& source, std::uint64_t revision,
+              time_point now);
+
+    /// What to fetch now, if anything: a revision above the one in force. At
+    /// most one fetch is under way; it counts as failed after `fetch_limit`.
+    /// Peers go before the platform; sources that failed pause, longer each
+    /// time.
+    std::optional<configuration_fetch> start_fetch(time_point now);
+
+    /// The fetch from a source gave no text, or one that is not newer.
+    void fetch_failed(configuration_source const& source, time_point now);
+
+    /// The text of a revision can't be used here. It is not fetched again.
+    void reject(std::uint64_t revision);
+
+    /// Puts a revision in force. False, and nothing changes, unless it is
+    /// higher than the one in force.
+    bool put_in_force(std::uint64_t revision);
+
+    /// 0 for none.
+    std::uint64_t in_force() const;
+    std::uint64_t highest_seen() const;
+
+    /// Whether a revision is in force.
+    bool ready() const;
+
+    /// Forgets what a peer has shown.
+    void forget(configuration_source const& source);
+
+    static constexpr milliseconds fetch_limit{2'000};
+    static constexpr milliseconds first_pause{100};
+    static constexpr milliseconds longest_pause{5'000};
+
+private:
+    struct source_state
+    {
+        std::uint64_t revision = 0;
+        time_point seen_at;
+        milliseconds pause{0};
+        time_point next_try = time_point::min();
+    };
+
+    struct running_fetch
+    {
+        configuration_source source;
+        time_point started;
+    };
+
+    bool useful(source_state const& state, time_point now) const;
+
+    std::map<configuration_source, source_state> sources_;
+    std::optional<running_fetch> running_;
+    std::uint64_t in_force_ = 0;
+    std::uint64_t rejected_ = 0;
+};
+
+} // namespace masticshift::membership
+
+#endif
