Add metrics: counters, gauges, latency histograms and their text form

Cause: entries show their state to Prometheus, and times need bins that are narrow at a millisecond and wide at a minute.

--- /dev/null
+++ b/libs/metrics/src/text_form.hpp
@@ -0,0 +1,38 @@
+#ifndef MASTICSHIFT_METRICS_TEXT_FORM_HPP
+#define MASTICSHIFT_METRICS_TEXT_FORM_HPP
+
+#include <metrics/registry.hpp>
+
+#include <string>
+#include <string_view>
+
+namespace masticshift::metrics
+{
+
+/// Whether a name is allowed for a metric (`allow_colon`) or a label.
+bool is_valid_name(std::string_view name, bool allow_colon);
+
+/// The shortest text that reads back as the same number.
+std::string number_text(double value);
+
+/// `name="value",...` with escaped values, without braces.
+std::string label_text(labels const& labels);
+
+/// Escapes backslashes and line feeds.
+std::string help_text(std::string_view help);
+
+/// `NAME{LABELS} VALUE` and a line feed.
+std::string sample_line(std::string_view name, std::string_view label_list,
+                        std::string_view value);
+
+/// The lines of one series.
+std::string series_text(std::string_view name, std::string_view label_list,
+                        counter const& metric);
+std::string series_text(std::string_view name, std::string_view label_list,
+                        gauge const& metric);
+std::string series_text(std::string_view name, std::string_view label_list,
+                        latency_histogram const& metric);
+
+} // namespace masticshift::metrics
+
+#endif
