Show the metrics of an entry

Cause: messages by kind are what waste is measured by. Counts, gauges and latency histograms are rendered from one registry.

--- a/libs/daemon/src/job.hpp
+++ b/libs/daemon/src/job.hpp
@@ -63,6 +63,7 @@
     /// Revision of the configuration that the job was admitted under.
     std::uint64_t revision = 0;
     bool recoverable = false;
+    time_point admitted;
     time_point deadline;
     /// The number that the placement engine knows the job by. A retried
     /// request gets another one.
--- a/libs/daemon/src/job_runner.cpp
+++ b/libs/daemon/src/job_runner.cpp
@@ -259,7 +259,10 @@
     auto result = co_await endpoints_.call(
         endpoint.ip, endpoint.port, std::move(request), answer_by, checks);
     if (result)
+    {
         ++metrics_.task_answers;
+        metrics_.task_time.observe(steady_clock::now() - begun);
+    }
     auto reply = read_task_reply(std::move(result), task.label);
     if (reply.result == task_result::lost && running->recoverable)
         reply = co_await recover(*running, task, std::move(reply));
@@ -406,7 +409,10 @@
 {
     running.answer = std::move(answer);
     if (running.answer->code == result_code::ok)
+    {
         ++metrics_.jobs_ok;
+        metrics_.job_time.observe(steady_clock::now() - running.admitted);
+    }
     else if (!running.tasks.empty())
         ++metrics_.jobs_failed;
     log_end(running);
--- a/libs/daemon/src/operator_api.cpp
+++ b/libs/daemon/src/operator_api.cpp
@@ -1,6 +1,7 @@
 #include "operator_api.hpp"
 
 #include "answer.hpp"
+#include "metrics_text.hpp"
 
 #include <boost/json.hpp>
 
@@ -152,6 +153,15 @@
     return make_json(body);
 }
 
+http_response operator_api::metrics() const
+{
+    metrics_sources const shown{sources_.peer_client.traffic(),
+                                sources_.peer_server.traffic(),
+                                sources_.runner.running_jobs()};
+    auto text = render_metrics(sources_.state, shown, steady_clock::now());
+    return make_text(info_of(result_code::ok).http_status, std::move(text));
+}
+
 http_response operator_api::answer_error(failure const& error)
 {
     http_response response;
--- a/libs/daemon/src/operator_api.hpp
+++ b/libs/daemon/src/operator_api.hpp
@@ -24,7 +24,7 @@
 public:
     struct sources
     {
-        entry_state const& state;
+        entry_state& state;
         job_runner const& runner;
         supervisor const& root;
         peer_link::peer_client const& peer_client;
--- a/libs/daemon/src/submission_service.cpp
+++ b/libs/daemon/src/submission_service.cpp
@@ -195,6 +195,7 @@
     started->id = id;
     started->id_text = started->what.id;
     started->table_number = number;
+    started->admitted = now;
     started->deadline = now + timeout_of(started->what);
     running_[number] = started;
     if (!state_.configuration)
