--- a/libs/placement/include/placement/engine_settings.hpp
+++ b/libs/placement/include/placement/engine_settings.hpp
@@ -27,7 +27,7 @@
     unsigned loan_batch = 16;
     /// A borrow call without an answer counts as failed after this time.
     duration borrow_timeout = milliseconds(1'000);
-    /// Attempts of one task at most, the first included.
+    /// Attempts of one task at most, the first included; up to 255.
     unsigned max_attempts = 16;
     /// Part of a service's endpoints that may be ejected at the same time.
     double max_ejected_part = 0.5;
--- a/libs/placement/src/engine_impl.hpp
+++ b/libs/placement/src/engine_impl.hpp
@@ -70,6 +70,8 @@
     bool waits_for_faster(job_state& job, double work, slot_choice const& spot,
                           time_point now);
     std::optional<choice> choose_last(job_state& job, time_point now) const;
+    assignment describe(job_state const& job, choice const& chosen,
+                        time_point now) const;
     assignment start(job_state& job, choice const& chosen, time_point now);
     void note_deferral(time_point until);
 
@@ -328,36 +330,46 @@
 }
 
 template <placement_policy Policy>
-assignment engine<Policy>::impl::start(job_state& job, choice const& chosen,
-                                       time_point now)
+assignment engine<Policy>::impl::describe(job_state const& job,
+                                          choice const& chosen,
+                                          time_point now) const
 {
-    auto& service = job.service;
-    auto const& spot = chosen.spot;
-    auto& member = service.members[spot.member];
-    auto& endpoint = *member.endpoint;
-    auto& slot = endpoint.slots[spot.slot];
-    auto& task = job.tasks[chosen.task];
+    auto const& member = job.service.members[chosen.spot.member];
+    auto const& slot = member.endpoint->slots[chosen.spot.slot];
+    auto const& task = job.tasks[chosen.task];
     assignment result;
     result.task = {job.id, chosen.task};
-    result.endpoint = &endpoint.config;
-    result.slot = spot.slot;
+    result.endpoint = &member.endpoint->config;
+    result.slot = chosen.spot.slot;
     result.borrowed = slot.borrowed;
-    result.attempt = ++task.attempts;
-    result.predicted = from_seconds(task.work / spot.speed);
+    result.attempt = task.attempts + 1U;
+    result.predicted = from_seconds(task.work / chosen.spot.speed);
     result.reason = chosen.reason;
     if (slot.borrowed && result.reason == placement_reason::fastest_free)
         result.reason = placement_reason::fastest_borrowed;
     if (member.health.state(now) == health_state::probing)
         result.reason = placement_reason::probe;
+    return result;
+}
+
+template <placement_policy Policy>
+assignment engine<Policy>::impl::start(job_state& job, choice const& chosen,
+                                       time_point now)
+{
+    auto const result = describe(job, chosen, now);
+    auto& endpoint = *job.service.members[chosen.spot.member].endpoint;
+    auto& slot = endpoint.slots[chosen.spot.slot];
+    auto& task = job.tasks[chosen.task];
+    task.member = chosen.spot.member;
+    task.slot = static_cast<std::uint16_t>(chosen.spot.slot);
+    ++task.attempts;
     job.take(chosen.task);
     job.expected_end = std::max(job.expected_end, now + result.predicted);
     job.deferred_since.reset();
-    task.member = spot.member;
-    task.slot = static_cast<std::uint16_t>(spot.slot);
     left_queue(job, 1, task.work);
     slot.busy = true;
     slot.used = true;
-    service.started(spot.member);
+    job.service.started(chosen.spot.member);
     all_.refresh(endpoint, now);
     return result;
 }
