--- a/tools/endpoint_standin/src/main.cpp
+++ b/tools/endpoint_standin/src/main.cpp
@@ -33,7 +33,8 @@
 /// An endpoint and the server in front of it.
 struct served_endpoint
 {
-    served_endpoint(asio::any_io_executor executor, endpoint_options options)
+    served_endpoint(asio::any_io_executor const& executor,
+                    endpoint_options options)
         : place(executor, std::move(options)),
           server(
               executor, {},
--- a/tools/endpoint_standin/tests/endpoint_test.cpp
+++ b/tools/endpoint_standin/tests/endpoint_test.cpp
@@ -31,19 +31,19 @@
     {
         auto const place_of_answer = answers.size();
         answers.emplace_back();
-        asio::co_spawn(
-            context, place.handle(std::move(request)),
-            [this, place_of_answer](std::exception_ptr, endpoint::answer answer)
-            {
-                answers[place_of_answer] = std::move(answer);
-            });
+        asio::co_spawn(context, place.handle(std::move(request)),
+                       [this, place_of_answer](std::exception_ptr const&,
+                                               endpoint::answer answer)
+                       {
+                           answers[place_of_answer] = std::move(answer);
+                       });
         context.restart();
         context.poll();
         return place_of_answer;
     }
 
     std::size_t post(std::string target, std::string body,
-                     std::string task = {})
+                     std::string const& task = {})
     {
         http_request request;
         request.method = "POST";
@@ -53,9 +53,9 @@
         return send(std::move(request));
     }
 
-    std::size_t run(std::string task, std::string input = "{}")
+    std::size_t run(std::string const& task, std::string input = "{}")
     {
-        return post("/v1/tasks/stock", std::move(input), std::move(task));
+        return post("/v1/tasks/stock", std::move(input), task);
     }
 
     void control(std::string body)
