Run membership, successions and configuration fetches in the daemon

Cause: a plain list of peers knew neither dead ones nor successions, so that a resubmission was answered home_unreachable where the successor was known only to the stopped entry. Before: a resubmission through a third entry after a drain got home_unreachable; after: the kept answer, and draining/not_run for an id that was never taken (run by hand, three entries).

--- a/libs/daemon/src/drain.cpp
+++ b/libs/daemon/src/drain.cpp
@@ -89,7 +89,7 @@
             break;
         }
     }
-    co_await watch_.send_heartbeats();
+    co_await watch_.tell_all(steady_clock::now());
 }
 
 asio::awaitable<bool> drain::hand_table(config::socket_address successor,
--- a/libs/daemon/src/entry.cpp
+++ b/libs/daemon/src/entry.cpp
@@ -63,6 +63,17 @@
     return limits;
 }
 
+membership::membership_view make_view(entry_state const& state)
+{
+    auto const& settings = state.settings;
+    membership::process_id const self{
+        state.self.address, static_cast<std::int64_t>(state.self.incarnation)};
+    membership::peer_table_settings table;
+    table.heartbeat_interval = settings.peers.heartbeat_interval;
+    table.dead_after = settings.peers.dead_after;
+    return {self, settings.entry.data_centre, table, settings.homes.retention};
+}
+
 peer_link::peer_client_limits
 make_peer_limits(config::peer_settings const& settings)
 {
@@ -91,17 +102,19 @@
                   make_hooks()),
           submissions_(executor, state_, runner_, peer_client_),
           holder_(state_, runner_),
-          watch_(executor, state_, runner_, holder_, peer_client_),
-          platform_watch_(state_, holder_, platform_client_,
-                          [this](platform::vm_list const& vms)
-                          {
-                              watch_.take_vms(vms, steady_clock::now());
-                          }),
+          platform_(platform_client_, state_.settings.platform.address,
+                    state_.settings.platform.timeout),
+          store_(platform_, platform::timer_wait{}),
+          view_(make_view(state_)),
+          fetcher_(executor, state_, view_.configuration, holder_, store_,
+                   peer_client_),
+          watch_(executor, state_, view_, runner_, fetcher_, peer_client_),
+          platform_watch_(state_, platform_, store_, make_platform_hooks()),
           caller_api_(state_, submissions_),
           peer_api_(state_, submissions_, runner_,
                     [this](wire::heartbeat const& heartbeat)
                     {
-                        watch_.hear(heartbeat, steady_clock::now());
+                        return watch_.hear(heartbeat, steady_clock::now());
                     }),
           root_(executor, "entry"),
           operator_api_(make_sources()),
@@ -177,6 +190,20 @@
         return hooks;
     }
 
+    platform_watch::hooks make_platform_hooks()
+    {
+        platform_watch::hooks hooks;
+        hooks.on_revision = [this](std::uint64_t revision)
+        {
+            watch_.take_revision(revision, steady_clock::now());
+        };
+        hooks.on_vms = [this](platform::vm_list const& vms)
+        {
+            watch_.take_vms(vms, steady_clock::now());
+        };
+        return hooks;
+    }
+
     operator_api::sources make_sources()
     {
         return {state_,
@@ -271,6 +298,10 @@
     job_runner runner_;
     submission_service submissions_;
     configuration_holder holder_;
+    platform::http_platform platform_;
+    configuration_store store_;
+    membership::membership_view view_;
+    configuration_fetcher fetcher_;
     peer_watch watch_;
     platform_watch platform_watch_;
     caller_api caller_api_;
--- a/libs/daemon/src/peer_api.cpp
+++ b/libs/daemon/src/peer_api.cpp
@@ -95,12 +95,11 @@
 
 wire::message peer_api::heartbeat(wire::heartbeat const& call)
 {
-    on_heartbeat_(call);
-    wire::heartbeat_reply reply;
-    auto const revision =
-        state_.configuration ? state_.configuration->revision : 0;
-    reply.__set_revision(static_cast<std::int64_t>(revision));
-    return make_message(std::move(reply));
+    auto reply = on_heartbeat_(call);
+    // No answer of the right kind closes the connection to that peer.
+    if (!reply)
+        return {};
+    return make_message(std::move(*reply));
 }
 
 wire::message peer_api::borrow(wire::borrow const& call)
--- a/libs/daemon/src/peer_api.hpp
+++ b/libs/daemon/src/peer_api.hpp
@@ -19,7 +19,8 @@
 class peer_api
 {
 public:
-    using heartbeat_handler = std::function<void(wire::heartbeat const&)>;
+    using heartbeat_handler =
+        std::function<outcome<wire::heartbeat_reply>(wire::heartbeat const&)>;
 
     peer_api(entry_state& state, submission_service& submissions,
              job_runner& runner, heartbeat_handler on_heartbeat);
--- a/libs/daemon/src/peer_watch.cpp
+++ b/libs/daemon/src/peer_watch.cpp
@@ -1,6 +1,9 @@
 #include "peer_watch.hpp"
 
+#include "failure_log.hpp"
+
 #include <core/log.hpp>
+#include <peer_link/heartbeat_conversion.hpp>
 #include <peer_link/message_kind.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -9,6 +12,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 
+#include <algorithm>
+
 namespace masticshift::daemon
 {
 
@@ -16,23 +21,61 @@
 {
 
 namespace asio = boost::asio;
+using membership::heard_result;
+
+void log_peer(heard_result result, membership::process_id const& peer)
+{
+    if (result == heard_result::known || result == heard_result::stale)
+        return;
+    boost::json::object fields;
+    fields["peer"] = peer.address;
+    fields["change"] = membership::name_of(result);
+    log_event(log_level::info, "peer_heard", std::move(fields));
+}
+
+membership::process_id to_process(homes::process_name const& name)
+{
+    return {name.address, static_cast<std::int64_t>(name.incarnation)};
+}
+
+homes::process_name to_name(membership::process_id const& process)
+{
+    return {process.address, static_cast<std::uint64_t>(process.incarnation)};
+}
+
+placement::entry_view to_view(membership::peer_state const& peer)
+{
+    placement::entry_view view;
+    view.address = peer.address;
+    view.data_centre = peer.data_centre;
+    view.sequence = static_cast<std::uint64_t>(peer.sequence);
+    for (auto const& load : peer.loads)
+    {
+        view.loads.push_back(
+            {load.service, static_cast<unsigned>(std::max(load.idle_slots, 0)),
+             static_cast<unsigned>(std::max(load.queued_tasks, 0))});
+    }
+    return view;
+}
 
 } // namespace
 
 peer_watch::peer_watch(asio::any_io_executor executor, entry_state& state,
-                       job_runner& runner, configuration_holder& holder,
+                       membership::membership_view& view, job_runner& runner,
+                       configuration_fetcher& fetcher,
                        peer_link::peer_client& peers)
     : executor_(std::move(executor)),
       state_(state),
+      view_(view),
       runner_(runner),
-      holder_(holder),
+      fetcher_(fetcher),
       peers_(peers)
 {
+    std::vector<std::string> configured;
     for (auto const& address : state_.settings.peers.addresses)
-        known_.insert(config::to_string(address));
-    known_.erase(state_.self.address);
-    state_.router.set_peers(known_);
-    update_engine(steady_clock::now());
+        configured.push_back(config::to_string(address));
+    view_.peers.set_configured(configured);
+    update(steady_clock::now());
 }
 
 asio::awaitable<void> peer_watch::run()
@@ -40,142 +83,161 @@
     asio::steady_timer timer(executor_);
     while (true)
     {
-        update_engine(steady_clock::now());
-        co_await send_heartbeats();
+        auto const now = steady_clock::now();
+        for (auto const& forgotten : view_.expire(now))
+        {
+            auto const address = config::parse_socket_address(forgotten);
+            if (address)
+                peers_.forget(*address);
+        }
+        update(now);
+        auto const beat = make_heartbeat(now);
+        auto const message = peer_link::to_wire(beat);
+        for (auto& peer : view_.peers.heartbeat_targets(beat.sequence, now))
+            asio::co_spawn(executor_, send(peer, message), asio::detached);
         timer.expires_after(state_.settings.peers.heartbeat_interval);
         co_await timer.async_wait(asio::use_awaitable);
     }
 }
 
-asio::awaitable<void> peer_watch::send_heartbeats()
+membership::heartbeat peer_watch::make_heartbeat(time_point now)
 {
-    auto const heartbeat = make_heartbeat(steady_clock::now());
-    for (auto const& known : known_)
+    membership::own_state own;
+    own.generation = static_cast<int>(state_.table.current_token().generation);
+    own.draining = state_.draining;
+    for (auto const& load : state_.engine.load(now))
     {
-        auto const address = config::parse_socket_address(known);
-        if (address)
-            asio::co_spawn(executor_, send(*address, heartbeat),
-                           asio::detached);
+        own.loads.push_back({load.service, static_cast<int>(load.idle_slots),
+                             static_cast<int>(load.queued_tasks)});
     }
-    co_return;
+    return view_.next_heartbeat(own, now);
 }
 
-asio::awaitable<void> peer_watch::send(config::socket_address address,
-                                       wire::heartbeat heartbeat)
+asio::awaitable<void> peer_watch::send(std::string peer,
+                                       wire::heartbeat message)
 {
+    auto const address = config::parse_socket_address(peer);
+    if (!address)
+        co_return;
     auto const deadline =
         steady_clock::now() + state_.settings.peers.call_timeout;
-    auto message = peer_link::make_message(std::move(heartbeat));
-    co_await peers_.call(address, std::move(message), deadline);
+    auto call = peer_link::make_message(std::move(message));
+    auto const result =
+        co_await peers_.call(*address, std::move(call), deadline);
+    auto const now = steady_clock::now();
+    if (!result)
+    {
+        view_.peers.failed(peer, now);
+        co_return;
+    }
+    view_.answered(peer, peer_link::from_wire(result->heartbeat_answer), now);
+    fetcher_.start_next(now);
 }
 
-wire::heartbeat peer_watch::make_heartbeat(time_point now)
+outcome<wire::heartbeat_reply> peer_watch::hear(wire::heartbeat const& message,
+                                                time_point now)
 {
-    wire::heartbeat heartbeat;
-    heartbeat.__set_address(state_.self.address);
-    heartbeat.__set_incarnation(
-        static_cast<std::int64_t>(state_.self.incarnation));
-    heartbeat.__set_data_centre(state_.settings.entry.data_centre);
-    heartbeat.__set_revision(static_cast<std::int64_t>(holder_.revision()));
-    heartbeat.__set_draining(state_.draining);
-    heartbeat.__set_sequence(++sequence_);
-    for (auto const& load : state_.engine.load(now))
+    auto const beat = peer_link::from_wire(message);
+    if (!beat)
     {
-        wire::service_load row;
-        row.__set_service_name(load.service);
-        row.__set_idle_slots(static_cast<std::int32_t>(load.idle_slots));
-        row.__set_queued_tasks(static_cast<std::int32_t>(load.queued_tasks));
-        heartbeat.loads.push_back(std::move(row));
+        log_failure("heartbeat_refused", beat.error());
+        return beat.error();
     }
-    return heartbeat;
+    auto const result = view_.heard(*beat, now);
+    log_peer(result, beat->sender);
+    learn(beat->successions, now);
+    update(now);
+    fetcher_.start_next(now);
+    return peer_link::to_wire(view_.answer());
 }
 
-void peer_watch::hear(wire::heartbeat const& heartbeat, time_point now)
+void peer_watch::learn(std::vector<membership::succession> const& successions,
+                       time_point now)
 {
-    if (!known_.contains(heartbeat.address))
-        return;
-    heard_[heartbeat.address] = {heartbeat, now};
-    update_engine(now);
-    auto const address = config::parse_socket_address(heartbeat.address);
-    auto const revision = static_cast<std::uint64_t>(heartbeat.revision);
-    if (address && revision > holder_.revision() && !fetching_)
+    for (auto const& heard : successions)
     {
-        fetching_ = true;
-        asio::co_spawn(executor_, fetch_text(*address), asio::detached);
+        auto const successor = view_.successions.successor_of(heard.stopped);
+        if (successor)
+        {
+            state_.router.learn_succession(to_name(heard.stopped),
+                                           successor->address, now);
+        }
     }
 }
 
-asio::awaitable<void> peer_watch::fetch_text(config::socket_address address)
+void peer_watch::take_revision(std::uint64_t revision, time_point now)
 {
-    auto const deadline =
-        steady_clock::now() + state_.settings.peers.call_timeout;
-    auto message = peer_link::make_message(wire::fetch_text());
-    auto const result =
-        co_await peers_.call(address, std::move(message), deadline);
-    fetching_ = false;
-    if (!result)
-        co_return;
-    auto const& text = result->fetch_text_answer;
-    auto const now = steady_clock::now();
-    auto const taken =
-        holder_.put_in_force(static_cast<std::uint64_t>(text.revision),
-                             text.text, config::to_string(address), now);
-    if (!taken)
-        log_event(log_level::warning, "configuration_refused");
+    view_.configuration.seen({}, revision, now);
+    fetcher_.start_next(now);
+}
+
+void peer_watch::take_vms(platform::vm_list const& vms, time_point now)
+{
+    membership::vm_list list;
+    list.as_of_us = vms.as_of_us;
+    for (auto const& vm : vms.vms)
+    {
+        auto const address = config::to_string(vm.address);
+        bool const leaving = vm.state == platform::vm_state::leaving;
+        if (vm.role == platform::vm_role::entry)
+            list.entries.push_back({address, vm.data_centre, leaving});
+        else
+            list.endpoints.push_back({address, leaving});
+    }
+    view_.listed(list, now);
+    update(now);
 }
 
-bool peer_watch::is_live(peer const& known, time_point now) const
+void peer_watch::update(time_point now)
 {
-    return !known.last.draining &&
-           now - known.heard <= state_.settings.peers.dead_after;
+    update_peers(now);
+    update_leaving(now);
+    runner_.schedule_placement();
 }
 
-void peer_watch::update_engine(time_point now)
+void peer_watch::update_peers(time_point now)
 {
+    std::set<std::string> known;
+    for (auto const& [address, peer] : view_.peers.all())
+        known.insert(address);
+    state_.router.set_peers(std::move(known));
     std::vector<placement::entry_view> live;
-    for (auto const& [address, known] : heard_)
+    for (auto const* peer : view_.peers.live(now))
     {
-        if (!is_live(known, now))
-            continue;
-        placement::entry_view view;
-        view.address = address;
-        view.data_centre = known.last.data_centre;
-        view.sequence = static_cast<std::uint64_t>(known.last.sequence);
-        for (auto const& load : known.last.loads)
-        {
-            view.loads.push_back({load.service_name,
-                                  static_cast<unsigned>(load.idle_slots),
-                                  static_cast<unsigned>(load.queued_tasks)});
-        }
-        live.push_back(std::move(view));
+        // A draining entry starts nothing new, so its slots are the others'.
+        if (!peer->draining)
+            live.push_back(to_view(*peer));
     }
     state_.engine.set_entries(std::move(live), now);
-    runner_.schedule_placement();
 }
 
-void peer_watch::take_vms(platform::vm_list const& vms, time_point now)
+void peer_watch::update_leaving(time_point now)
 {
-    std::vector<std::string> leaving;
-    for (auto const& vm : vms.vms)
+    auto leaving = view_.leaving.endpoints();
+    if (leaving == leaving_)
+        return;
+    for (auto const& endpoint : leaving)
     {
-        if (vm.role == platform::vm_role::endpoint &&
-            vm.state == platform::vm_state::leaving)
-            leaving.push_back(config::to_string(vm.address));
+        if (std::ranges::binary_search(leaving_, endpoint))
+            continue;
+        boost::json::object fields;
+        fields["endpoint"] = endpoint;
+        log_event(log_level::info, "endpoint_leaving_seen", std::move(fields));
     }
-    state_.engine.set_leaving(leaving, now);
+    leaving_ = std::move(leaving);
+    state_.engine.set_leaving(leaving_, now);
 }
 
 std::vector<std::string> peer_watch::successors(time_point now) const
 {
     std::vector<std::string> near;
     std::vector<std::string> far;
-    for (auto const& [address, known] : heard_)
+    for (auto const* peer : view_.peers.live(now))
     {
-        if (!is_live(known, now))
+        if (peer->draining || peer->leaving)
             continue;
-        bool const same =
-            known.last.data_centre == state_.settings.entry.data_centre;
-        (same ? near : far).push_back(address);
+        bool const same = peer->data_centre == view_.peers.data_centre();
+        (same ? near : far).push_back(peer->address);
     }
     near.insert(near.end(), far.begin(), far.end());
     return near;
@@ -185,20 +247,38 @@
                                      std::string const& successor,
                                      time_point now)
 {
-    successions_[stopped] = successor;
+    auto const* peer = view_.peers.find(successor);
+    if (peer == nullptr)
+        return;
+    membership::succession entry;
+    entry.stopped = to_process(stopped);
+    entry.successor = {successor, peer->incarnation};
+    entry.handovers = view_.successions.handovers_of(entry.stopped) + 1;
+    view_.successions.add(entry, now);
     state_.router.learn_succession(stopped, successor, now);
 }
 
+asio::awaitable<void> peer_watch::tell_all(time_point now)
+{
+    auto const message = peer_link::to_wire(make_heartbeat(now));
+    std::vector<std::string> peers;
+    for (auto const* peer : view_.peers.live(now))
+        peers.push_back(peer->address);
+    for (auto const& peer : peers)
+        co_await send(peer, message);
+}
+
 boost::json::value peer_watch::describe(time_point now) const
 {
     boost::json::array rows;
-    for (auto const& [address, known] : heard_)
+    for (auto const& [address, peer] : view_.peers.all())
     {
         boost::json::object row;
         row["address"] = address;
-        row["data_centre"] = known.last.data_centre;
-        row["live"] = is_live(known, now);
-        row["revision"] = known.last.revision;
+        row["data_centre"] = peer.data_centre;
+        row["live"] = view_.peers.is_live(peer, now);
+        row["draining"] = peer.draining;
+        row["revision"] = peer.revision;
         rows.push_back(std::move(row));
     }
     return rows;
--- a/libs/daemon/src/peer_watch.hpp
+++ b/libs/daemon/src/peer_watch.hpp
@@ -1,10 +1,11 @@
 #ifndef MASTICSHIFT_DAEMON_PEER_WATCH_HPP
 #define MASTICSHIFT_DAEMON_PEER_WATCH_HPP
 
-#include "configuration_holder.hpp"
+#include "configuration_fetcher.hpp"
 #include "entry_state.hpp"
 #include "job_runner.hpp"
 
+#include <membership/membership_view.hpp>
 #include <peer_link/peer_client.hpp>
 #include <peer_link/wire.hpp>
 #include <platform/vm_list.hpp>
@@ -13,7 +14,6 @@
 #include <boost/json/value.hpp>
 
 #include <cstdint>
-#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -28,50 +28,49 @@
 {
 public:
     peer_watch(boost::asio::any_io_executor executor, entry_state& state,
-               job_runner& runner, configuration_holder& holder,
-               peer_link::peer_client& peers);
+               membership::membership_view& view, job_runner& runner,
+               configuration_fetcher& fetcher, peer_link::peer_client& peers);
 
-    /// Runs until it is cancelled.
+    /// Sends heartbeats until it is cancelled.
     boost::asio::awaitable<void> run();
 
-    boost::asio::awaitable<void> send_heartbeats();
+    /// Takes a heartbeat and gives the answer to it.
+    outcome<wire::heartbeat_reply> hear(wire::heartbeat const& message,
+                                        time_point now);
 
-    void hear(wire::heartbeat const& heartbeat, time_point now);
     void take_vms(platform::vm_list const& vms, time_point now);
+    void take_revision(std::uint64_t revision, time_point now);
 
     /// Peers that can take a table over, the best first.
     std::vector<std::string> successors(time_point now) const;
 
+    /// Tells all live peers who answers for the ids of a stopped process.
     void announce_succession(homes::process_name const& stopped,
                              std::string const& successor, time_point now);
 
+    /// One heartbeat to every live peer.
+    boost::asio::awaitable<void> tell_all(time_point now);
+
     boost::json::value describe(time_point now) const;
 
 private:
-    struct peer
-    {
-        wire::heartbeat last;
-        time_point heard;
-    };
-
-    bool is_live(peer const& known, time_point now) const;
-    void update_engine(time_point now);
-    wire::heartbeat make_heartbeat(time_point now);
-    boost::asio::awaitable<void> send(config::socket_address address,
-                                      wire::heartbeat heartbeat);
-    boost::asio::awaitable<void> fetch_text(config::socket_address address);
+    membership::heartbeat make_heartbeat(time_point now);
+    boost::asio::awaitable<void> send(std::string peer,
+                                      wire::heartbeat message);
+    /// Passes on what has changed to the router and the placement engine.
+    void update(time_point now);
+    void update_peers(time_point now);
+    void update_leaving(time_point now);
+    void learn(std::vector<membership::succession> const& successions,
+               time_point now);
 
     boost::asio::any_io_executor executor_;
     entry_state& state_;
+    membership::membership_view& view_;
     job_runner& runner_;
-    configuration_holder& holder_;
+    configuration_fetcher& fetcher_;
     peer_link::peer_client& peers_;
-    std::set<std::string> known_;
-    std::map<std::string, peer> heard_;
-    std::set<std::string> leaving_;
-    std::map<homes::process_name, std::string> successions_;
-    std::int64_t sequence_ = 0;
-    bool fetching_ = false;
+    std::vector<std::string> leaving_;
 };
 
 } // namespace masticshift::daemon
--- a/libs/membership/include/membership/peer_table.hpp
+++ b/libs/membership/include/membership/peer_table.hpp
@@ -75,6 +75,8 @@
     refused
 };
 
+std::string_view name_of(heard_result result);
+
 /// What this entry can reach.
 struct isolation_view
 {
--- a/libs/membership/include/membership/succession_table.hpp
+++ b/libs/membership/include/membership/succession_table.hpp
@@ -27,6 +27,9 @@
 
     std::optional<process_id> successor_of(process_id const& stopped) const;
 
+    /// Handovers of the ids of a stopped process so far, 0 for none.
+    int handovers_of(process_id const& stopped) const;
+
     /// As `leaving_set::news`.
     std::vector<succession> news(time_point now) const;
     void resend(time_point now);
--- a/libs/membership/src/peer_table.cpp
+++ b/libs/membership/src/peer_table.cpp
@@ -67,6 +67,26 @@
 
 } // namespace
 
+std::string_view name_of(heard_result result)
+{
+    switch (result)
+    {
+    case heard_result::known:
+        return "known";
+    case heard_result::joined:
+        return "joined";
+    case heard_result::restarted:
+        return "restarted";
+    case heard_result::returned:
+        return "returned";
+    case heard_result::stale:
+        return "stale";
+    case heard_result::refused:
+        break;
+    }
+    return "refused";
+}
+
 peer_table::peer_table(process_id self, std::string data_centre,
                        peer_table_settings settings)
     : self_(std::move(self)),
--- a/libs/membership/src/succession_table.cpp
+++ b/libs/membership/src/succession_table.cpp
@@ -52,6 +52,12 @@
     return found->second.successor;
 }
 
+int succession_table::handovers_of(process_id const& stopped) const
+{
+    auto const found = records_.find(stopped);
+    return found == records_.end() ? 0 : found->second.handovers;
+}
+
 std::vector<succession> succession_table::news(time_point now) const
 {
     auto const all = is_recent(resent_, news_time, now);
