Forget dropped generations a few ids at a time

Cause: dropping a generation freed 50,000 ids in the call that hit the limit. Running and answered ids now stand in two maps, so that a drop moves one map aside; each submission frees 32 ids and each rotation 1,024.

Ruled out: erasing per id on expiry, which would leave absent and forgotten ids indistinguishable.

Conclusion: memory is bounded by max_ids; dropped ids still being freed come on top for a short time.

--- a/libs/homes/include/homes/submission_id.hpp
+++ b/libs/homes/include/homes/submission_id.hpp
@@ -3,7 +3,6 @@
 
 #include <core/outcome.hpp>
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -25,7 +24,8 @@
     std::string address;
     std::uint64_t incarnation = 0;
 
-    friend auto operator<=>(process_name const&, process_name const&) = default;
+    friend bool operator==(process_name const&, process_name const&) = default;
+    friend bool operator<(process_name const& left, process_name const& right);
 };
 
 std::string to_string(process_name const& process);
@@ -53,6 +53,9 @@
                            submission_id const&) = default;
 };
 
+/// Whether a token names this process.
+bool names(home_token const& token, process_name const& process);
+
 /// The process that a token names.
 process_name process_of(home_token const& token);
 
--- a/libs/homes/include/homes/submission_table.hpp
+++ b/libs/homes/include/homes/submission_table.hpp
@@ -16,6 +16,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace masticshift::homes
 {
@@ -132,21 +133,23 @@
         submission_number number = 0;
     };
 
+    /// By nonce.
+    using id_map = std::unordered_map<std::string, entry>;
+
     struct generation
     {
-        std::uint32_t number = 0;
         time_point began;
         /// When the next one began. Unset for the current generation.
         time_point ended;
         time_point last_answer;
-        std::size_t running = 0;
         std::size_t answer_bytes = 0;
-        /// By nonce.
-        std::unordered_map<std::string, entry> entries;
+        id_map running;
+        id_map answered;
     };
 
     generation& current();
     generation const& current() const;
+    std::uint32_t current_number() const;
     entry const* find_entry(submission_id const& id) const;
 
     admission_decision take(submission_id const& id, body_digest const& digest,
@@ -158,8 +161,9 @@
     refuse_untaken(submission_id const& id) const;
     admission_decision start(submission_id const& id, body_digest const& digest,
                              time_point now);
-    void keep_answer(generation& holder, entry& held, answer_ptr answer,
-                     time_point now);
+    void keep_answer(generation& holder, id_map::node_type held,
+                     answer_ptr answer, time_point now);
+    void end_running(generation& holder, time_point now);
 
     void begin_generation(time_point now);
     void begin_generation_if_large(time_point now);
@@ -169,12 +173,15 @@
     void trim_answers(time_point now);
     bool forget_early(time_point now);
     std::size_t forget(std::uint32_t number);
+    void free_forgotten(std::size_t count);
 
     submission_table_options options_;
     token_signer signer_;
     home_token token_;
     /// By number. The last one is the current one.
     std::map<std::uint32_t, generation> generations_;
+    /// Freed a few at a time, so that no call is held up by a large drop.
+    std::vector<id_map> forgotten_;
     /// Generations below this one may have forgotten ids.
     std::uint32_t oldest_generation_ = 0;
     /// Generations below this one take no new ids. Only ever raised, so that
--- a/libs/homes/src/inherited_tables.cpp
+++ b/libs/homes/src/inherited_tables.cpp
@@ -24,7 +24,7 @@
         return contradiction("there are more records than announced");
     for (auto const& record : part.records)
     {
-        if (process_of(record.id.home) != part.header.process)
+        if (!names(record.id.home, part.header.process))
             return contradiction("a record names another process");
         if (!record.answer)
             return contradiction("a record has no answer");
--- a/libs/homes/src/submission_id.cpp
+++ b/libs/homes/src/submission_id.cpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <charconv>
 #include <optional>
+#include <tuple>
 #include <vector>
 
 namespace masticshift::homes
@@ -106,6 +107,18 @@
 
 } // namespace
 
+bool operator<(process_name const& left, process_name const& right)
+{
+    return std::tie(left.address, left.incarnation) <
+           std::tie(right.address, right.incarnation);
+}
+
+bool names(home_token const& token, process_name const& process)
+{
+    return token.incarnation == process.incarnation &&
+           token.address == process.address;
+}
+
 std::string to_string(process_name const& process)
 {
     return process.address + token_separator +
--- a/libs/homes/src/submission_table.cpp
+++ b/libs/homes/src/submission_table.cpp
@@ -18,6 +18,11 @@
 // drops a small part of the answers at a time.
 constexpr std::size_t generations_per_limit = 8;
 
+// Forgotten ids that one call frees. A submission adds one id, so they go much
+// faster than new ones come.
+constexpr std::size_t freed_per_submission = 32;
+constexpr std::size_t freed_per_rotation = 1'024;
+
 std::size_t share_of(std::size_t limit)
 {
     return std::max<std::size_t>(1, limit / generations_per_limit);
@@ -67,12 +72,13 @@
     auto const last = std::prev(generations_.end());
     for (auto at = generations_.begin(); at != last;)
     {
-        auto const& old = (at++)->second;
+        auto const& [number, old] = *at++;
         if (retention_passed(old, now))
-            forget(old.number);
-        else if (old.number >= oldest_generation_)
+            forget(number);
+        else if (number >= oldest_generation_)
             break;
     }
+    free_forgotten(freed_per_rotation);
 }
 
 admission_decision submission_table::admit(submission_id const& id,
@@ -99,10 +105,10 @@
     if (find_entry(id) == nullptr)
         return false;
     auto& holder = generations_.at(id.home.generation);
-    auto& held = holder.entries.at(id.nonce);
-    if (held.answer)
+    auto held = holder.running.extract(id.nonce);
+    if (held.empty())
         return false;
-    keep_answer(holder, held, std::move(answer), now);
+    keep_answer(holder, std::move(held), std::move(answer), now);
     trim_answers(now);
     begin_generation_if_large(now);
     return true;
@@ -133,19 +139,16 @@
     close_admission();
     exported_ = true;
     handover_table table;
-    table.header = {options_.self, oldest_generation_, current().number, ids_};
+    table.header = {options_.self, oldest_generation_, current_number(), ids_};
     table.records.reserve(ids_);
     for (auto& [number, holder] : generations_)
     {
         home_token token{
             options_.self.address, options_.self.incarnation, number, {}};
         token = signer_.sign(std::move(token));
-        for (auto& [nonce, held] : holder.entries)
-        {
-            if (!held.answer)
-                keep_answer(holder, held, unknown_outcome(), now);
+        end_running(holder, now);
+        for (auto const& [nonce, held] : holder.answered)
             table.records.push_back({{token, nonce}, held.digest, held.answer});
-        }
     }
     return table;
 }
@@ -170,23 +173,33 @@
     return std::prev(generations_.end())->second;
 }
 
+std::uint32_t submission_table::current_number() const
+{
+    return std::prev(generations_.end())->first;
+}
+
 submission_table::entry const*
 submission_table::find_entry(submission_id const& id) const
 {
-    if (process_of(id.home) != options_.self)
+    if (!names(id.home, options_.self))
         return nullptr;
     auto const holder = generations_.find(id.home.generation);
     if (holder == generations_.end())
         return nullptr;
-    auto const& entries = holder->second.entries;
-    auto const found = entries.find(id.nonce);
-    return found == entries.end() ? nullptr : &found->second;
+    for (auto const* ids : {&holder->second.running, &holder->second.answered})
+    {
+        auto const found = ids->find(id.nonce);
+        if (found != ids->end())
+            return &found->second;
+    }
+    return nullptr;
 }
 
 admission_decision submission_table::take(submission_id const& id,
                                           body_digest const& digest,
                                           time_point now)
 {
+    free_forgotten(freed_per_submission);
     close_old_generations(now);
     if (auto refusal = check_home(id))
         return *std::move(refusal);
@@ -209,7 +222,7 @@
 std::optional<admission_decision>
 submission_table::check_home(submission_id const& id) const
 {
-    if (process_of(id.home) != options_.self)
+    if (!names(id.home, options_.self))
         return refused(outcome_unknown, ran_state::unknown,
                        "the id names another process");
     auto const verified = signer_.verify(id.home);
@@ -249,7 +262,7 @@
     if (closed_)
         return refused(draining, ran_state::not_run,
                        "this entry stops and takes no new ids");
-    if (number > current().number)
+    if (number > current_number())
         // That generation may begin later and then take this id.
         return refused(id_malformed, ran_state::unknown,
                        "the generation of this id has not begun");
@@ -265,8 +278,7 @@
 {
     auto& holder = generations_.at(id.home.generation);
     auto const number = ++last_number_;
-    holder.entries.emplace(id.nonce, entry{digest, nullptr, number});
-    ++holder.running;
+    holder.running.emplace(id.nonce, entry{digest, nullptr, number});
     ++running_;
     ++ids_;
     begin_generation_if_large(now);
@@ -276,29 +288,35 @@
     return decision;
 }
 
-void submission_table::keep_answer(generation& holder, entry& held,
+void submission_table::keep_answer(generation& holder, id_map::node_type held,
                                    answer_ptr answer, time_point now)
 {
     auto const size = size_of(*answer);
-    held.answer = std::move(answer);
+    held.mapped().answer = std::move(answer);
+    holder.answered.insert(std::move(held));
     holder.last_answer = now;
     holder.answer_bytes += size;
-    --holder.running;
     answer_bytes_ += size;
     --running_;
 }
 
+void submission_table::end_running(generation& holder, time_point now)
+{
+    auto const answer = unknown_outcome();
+    auto& running = holder.running;
+    while (!running.empty())
+        keep_answer(holder, running.extract(running.begin()), answer, now);
+}
+
 void submission_table::begin_generation(time_point now)
 {
     auto number = first_generation;
     if (!generations_.empty())
     {
         current().ended = now;
-        number = current().number + 1;
+        number = current_number() + 1;
     }
-    auto& begun = generations_[number];
-    begun.number = number;
-    begun.began = now;
+    generations_[number].began = now;
     token_ = signer_.sign(
         {options_.self.address, options_.self.incarnation, number, {}});
 }
@@ -306,8 +324,9 @@
 void submission_table::begin_generation_if_large(time_point now)
 {
     auto const& filled = current();
+    auto const ids = filled.running.size() + filled.answered.size();
     bool const large =
-        filled.entries.size() >= share_of(options_.max_ids) ||
+        ids >= share_of(options_.max_ids) ||
         filled.answer_bytes >= share_of(options_.max_answer_bytes);
     if (large && !closed_)
         begin_generation(now);
@@ -350,7 +369,7 @@
 {
     for (auto const& [number, old] : generations_)
     {
-        if (old.entries.size() == old.running)
+        if (old.answered.empty())
             continue;
         if (&old == &current())
             begin_generation(now);
@@ -366,16 +385,25 @@
 {
     oldest_generation_ = std::max(oldest_generation_, number + 1);
     auto& old = generations_.at(number);
-    answer_bytes_ -= std::exchange(old.answer_bytes, 0);
-    auto const dropped = std::erase_if(old.entries,
-                                       [](auto const& item)
-                                       {
-                                           return item.second.answer != nullptr;
-                                       });
+    auto const dropped = old.answered.size();
     ids_ -= dropped;
-    if (old.entries.empty())
+    answer_bytes_ -= std::exchange(old.answer_bytes, 0);
+    if (dropped > 0)
+        forgotten_.push_back(std::exchange(old.answered, {}));
+    if (old.running.empty())
         generations_.erase(number);
     return dropped;
 }
 
+void submission_table::free_forgotten(std::size_t count)
+{
+    for (; count > 0 && !forgotten_.empty(); --count)
+    {
+        auto& ids = forgotten_.back();
+        ids.erase(ids.begin());
+        if (ids.empty())
+            forgotten_.pop_back();
+    }
+}
+
 } // namespace masticshift::homes
