Test the promises about an id over its whole life

Cause: a doubled start is the worst defect. rapidcheck drives admit, refuse, finish, fetch, rotate, steps back in time, close, export, parts in any order and twice, and a second handover, against a history of what callers were told.

--- /dev/null
+++ b/libs/homes/tests/submission_history.hpp
@@ -0,0 +1,136 @@
+#ifndef MASTICSHIFT_HOMES_TESTS_SUBMISSION_HISTORY_HPP
+#define MASTICSHIFT_HOMES_TESTS_SUBMISSION_HISTORY_HPP
+
+#include "table_fixture.hpp"
+
+#include <rapidcheck.h>
+
+#include <string>
+#include <utility>
+
+namespace masticshift::homes::testing
+{
+
+/// All that callers were told about one id, and what really became of it.
+/// Fails the property at the first answer that breaks a promise.
+class submission_history
+{
+public:
+    explicit submission_history(submission_id id) : id_(std::move(id))
+    {
+    }
+
+    submission_id const& id() const
+    {
+        return id_;
+    }
+
+    bool running() const
+    {
+        return running_;
+    }
+
+    void check(unsigned body, admission_decision const& decision)
+    {
+        switch (decision.kind)
+        {
+        case decision_kind::start:
+            check_start(body);
+            break;
+        case decision_kind::attach:
+            RC_ASSERT(running_);
+            RC_ASSERT(body == body_);
+            break;
+        case decision_kind::answered:
+            RC_ASSERT(body == body_);
+            check_answer(*decision.answer);
+            break;
+        case decision_kind::refused:
+            check_refusal(body, decision);
+            break;
+        }
+    }
+
+    /// A copy was refused for good with this answer, if that was allowed.
+    void check_refuse(unsigned body, answer_ptr const& given,
+                      admission_decision const& decision)
+    {
+        RC_ASSERT(decision.kind != decision_kind::start);
+        if (decision.answer == given)
+        {
+            RC_ASSERT(!taken_);
+            taken_ = true;
+            body_ = body;
+            answer_ = given;
+        }
+        check(body, decision);
+    }
+
+    void finished(answer_ptr answer)
+    {
+        RC_ASSERT(running_);
+        running_ = false;
+        answer_ = std::move(answer);
+    }
+
+    /// What a caller that fetches the answer was told.
+    void check_fetch(admission_decision const& decision)
+    {
+        RC_ASSERT(decision.kind != decision_kind::start);
+        check(body_, decision);
+    }
+
+private:
+    void check_start(unsigned body)
+    {
+        RC_ASSERT(!taken_);
+        RC_ASSERT(!told_not_run_);
+        RC_ASSERT(!told_expired_);
+        taken_ = true;
+        running_ = true;
+        body_ = body;
+    }
+
+    void check_answer(kept_answer const& answer)
+    {
+        RC_ASSERT(!told_expired_);
+        RC_ASSERT(answer_ != nullptr);
+        RC_ASSERT(answer.code == answer_->code);
+        RC_ASSERT(answer.ran == answer_->ran);
+        RC_ASSERT(answer.body == answer_->body);
+        told_not_run_ = told_not_run_ || answer.ran == ran_state::not_run;
+    }
+
+    void check_refusal(unsigned body, admission_decision const& decision)
+    {
+        bool const not_run = decision.ran == ran_state::not_run;
+        if (not_run)
+        {
+            RC_ASSERT(!running_);
+            bool const ran = answer_ && answer_->ran != ran_state::not_run;
+            RC_ASSERT_FALSE(ran);
+            told_not_run_ = true;
+        }
+        bool const forgotten = decision.code == result_code::id_expired ||
+                               decision.code == result_code::outcome_unknown;
+        if (decision.code == result_code::id_expired && !not_run)
+            told_expired_ = true;
+        else if (taken_ && !forgotten && !told_expired_)
+        {
+            RC_ASSERT(decision.code == result_code::id_reused);
+            RC_ASSERT(body != body_);
+        }
+    }
+
+    submission_id id_;
+    bool taken_ = false;
+    bool running_ = false;
+    bool told_not_run_ = false;
+    bool told_expired_ = false;
+    unsigned body_ = 0;
+    answer_ptr answer_;
+};
+
+} // namespace masticshift::homes::testing
+
+#endif
