Add the command line and the page of result codes

Cause: operators check, apply and show configurations, ask entries for their status, drain them, and submit and cancel jobs.

Commands are a table of functions, one file each. `submit` follows the callers' contract through one pure function, `next_step`: an id without an answer is submitted again with the same body, at the next entry; a new id follows only after not_run, or where the home is lost and no earlier call had sent the id. An id given with --id counts as sent before.

Ruled out: the parser of gflags for the whole command line. It ends the program with an exit code of its own on a bad flag, where 5 (usage) is promised; flags are set one by one through its interface instead.

--- /dev/null
+++ b/tools/masticshift/src/checked_text.cpp
@@ -0,0 +1,16 @@
+#include "checked_text.hpp"
+
+#include "input_text.hpp"
+
+namespace masticshift::cli
+{
+
+outcome<config::service_text> load_checked_text(std::string const& path)
+{
+    auto const text = read_input(path);
+    if (!text)
+        return text.error();
+    return config::load_service_text(*text, path);
+}
+
+} // namespace masticshift::cli
--- /dev/null
+++ b/tools/masticshift/src/checked_text.hpp
@@ -0,0 +1,17 @@
+#ifndef MASTICSHIFT_CLI_CHECKED_TEXT_HPP
+#define MASTICSHIFT_CLI_CHECKED_TEXT_HPP
+
+#include <config/service_text.hpp>
+#include <core/outcome.hpp>
+
+#include <string>
+
+namespace masticshift::cli
+{
+
+/// Reads and checks a configuration text.
+outcome<config::service_text> load_checked_text(std::string const& path);
+
+} // namespace masticshift::cli
+
+#endif
--- /dev/null
+++ b/tools/masticshift/src/commands.cpp
@@ -0,0 +1,75 @@
+#include "commands.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace masticshift::cli
+{
+
+namespace
+{
+
+constexpr std::array table{
+    command{"check", "check FILE", "check a configuration text", 1, false,
+            false, run_check},
+    command{"apply", "apply FILE --platform IP:PORT [--expect N]",
+            "make a text the next revision", 1, true, false, run_apply},
+    command{"show", "show --platform IP:PORT [--revision]",
+            "print the text in force, or its revision", 0, true, false,
+            run_show},
+    command{"status", "status --entry OPERATOR_ADDRESS[,...]",
+            "print the status of entries", 0, false, true, run_status},
+    command{"submit",
+            "submit --entry CALLER_ADDRESS[,...] --service S --tasks FILE|-\n"
+            "         [--timeout_ms N] [--id ID]",
+            "run a job and print its answer", 0, false, true, run_submit},
+    command{"cancel", "cancel ID --entry CALLER_ADDRESS[,...]", "cancel a job",
+            1, false, true, run_cancel},
+    command{"drain", "drain --entry OPERATOR_ADDRESS",
+            "make an entry finish its work and stop", 0, false, true,
+            run_drain}};
+
+failure usage_failure(std::string const& detail)
+{
+    return {result_code::usage, detail};
+}
+
+} // namespace
+
+std::span<command const> commands()
+{
+    return table;
+}
+
+outcome<command const*> find_command(options const& given)
+{
+    if (given.arguments.empty())
+        return usage_failure("no command given");
+    auto const& name = given.arguments.front();
+    auto const found = std::ranges::find(table, name, &command::name);
+    if (found == table.end())
+        return usage_failure("unknown command '" + name + "'");
+    auto const wanted = "usage: masticshift " + std::string(found->usage);
+    if (given.arguments.size() != found->argument_count + 1)
+        return usage_failure(wanted);
+    if (found->needs_platform && !given.platform)
+        return usage_failure("--platform is missing; " + wanted);
+    if (found->needs_entry && given.entries.empty())
+        return usage_failure("--entry is missing; " + wanted);
+    return &*found;
+}
+
+std::string help_text()
+{
+    std::string text = "usage: masticshift COMMAND [FLAGS]\n\n";
+    for (auto const& each : table)
+    {
+        text += "  " + std::string(each.usage) + "\n      " +
+                std::string(each.summary) + "\n";
+    }
+    return text + "\n" + describe_flags() +
+           "\nThe exit code is 0, or the hundreds digit of the result code; "
+           "docs/ERRORS.md lists them.\n";
+}
+
+} // namespace masticshift::cli
--- /dev/null
+++ b/tools/masticshift/src/drain.cpp
@@ -0,0 +1,42 @@
+#include "commands.hpp"
+#include "entry_answer.hpp"
+
+namespace masticshift::cli
+{
+
+namespace
+{
+
+constexpr milliseconds drain_timeout{5'000};
+constexpr unsigned first_error_status = 300;
+
+} // namespace
+
+pending_report run_drain(session& calls, options const& given)
+{
+    if (given.entries.size() != 1)
+    {
+        co_return report_of(
+            failure{result_code::usage, "drain takes one address"});
+    }
+    auto const name = config::to_string(given.entries.front());
+    transport::http_request request;
+    request.method = "POST";
+    request.target = "/drain";
+    auto const answer =
+        co_await calls.call(given.entries.front(), request, drain_timeout);
+    if (!answer)
+        co_return report_of(call_failed(name, answer.error()));
+    if (answer->status >= first_error_status)
+    {
+        co_return report_of(
+            failure{result_code::io_error,
+                    name + ": answered " + std::to_string(answer->status)});
+    }
+    report result;
+    result.text = name + " drains\n";
+    result.fields["entry"] = name;
+    co_return result;
+}
+
+} // namespace masticshift::cli
--- /dev/null
+++ b/tools/masticshift/src/platform_access.hpp
@@ -0,0 +1,41 @@
+#ifndef MASTICSHIFT_CLI_PLATFORM_ACCESS_HPP
+#define MASTICSHIFT_CLI_PLATFORM_ACCESS_HPP
+
+#include "options.hpp"
+#include "session.hpp"
+
+#include <platform/configuration_store.hpp>
+#include <platform/http_platform.hpp>
+#include <platform/timer_wait.hpp>
+
+namespace masticshift::cli
+{
+
+inline constexpr milliseconds platform_timeout{2'000};
+
+/// The platform's table, as the flag `--platform` names it.
+class platform_access
+{
+public:
+    using store_type = platform::configuration_store<platform::http_platform,
+                                                     platform::timer_wait>;
+
+    platform_access(session& calls, options const& given)
+        : platform_(calls.client(), *given.platform, platform_timeout),
+          store_(platform_, {})
+    {
+    }
+
+    store_type& store()
+    {
+        return store_;
+    }
+
+private:
+    platform::http_platform platform_;
+    store_type store_;
+};
+
+} // namespace masticshift::cli
+
+#endif
--- /dev/null
+++ b/tools/masticshift/src/submit_step.cpp
@@ -0,0 +1,43 @@
+#include "submit_step.hpp"
+
+namespace masticshift::cli
+{
+
+namespace
+{
+
+/// Refusals that another entry or a later time may not repeat.
+bool is_passing_refusal(result_code code)
+{
+    return code == result_code::overloaded || code == result_code::draining ||
+           code == result_code::not_ready ||
+           code == result_code::too_many_connections ||
+           code == result_code::endpoint_refused;
+}
+
+bool is_home_lost(result_code code)
+{
+    return code == result_code::outcome_unknown ||
+           code == result_code::home_unreachable;
+}
+
+} // namespace
+
+submit_step next_step(call_outcome const& last, bool sent_before)
+{
+    if (last.end != call_end::answered)
+        return submit_step::resubmit;
+    if (last.code == result_code::ok)
+        return submit_step::finish;
+    if (last.ran == ran_state::not_run)
+    {
+        return is_passing_refusal(last.code) || is_home_lost(last.code)
+                   ? submit_step::renew_id
+                   : submit_step::finish;
+    }
+    if (last.ran == ran_state::unknown && is_home_lost(last.code))
+        return sent_before ? submit_step::resubmit : submit_step::renew_id;
+    return submit_step::finish;
+}
+
+} // namespace masticshift::cli
--- /dev/null
+++ b/tools/masticshift/tests/program_test.cpp
@@ -0,0 +1,88 @@
+#include <doctest/doctest.h>
+
+#include <sys/wait.h>
+
+#include <array>
+#include <cstdio>
+#include <string>
+
+namespace
+{
+
+struct program_result
+{
+    int exit_code = -1;
+    /// Both output streams.
+    std::string output;
+};
+
+program_result run(std::string const& arguments)
+{
+    auto const line =
+        std::string(MASTICSHIFT_BIN_DIR "/masticshift ") + arguments + " 2>&1";
+    program_result result;
+    auto* const pipe = popen(line.c_str(), "r");
+    REQUIRE(pipe != nullptr);
+    std::array<char, 4'096> chunk{};
+    while (std::fgets(chunk.data(), chunk.size(), pipe) != nullptr)
+        result.output += chunk.data();
+    result.exit_code = WEXITSTATUS(pclose(pipe));
+    return result;
+}
+
+bool contains(std::string const& text, std::string const& part)
+{
+    return text.find(part) != std::string::npos;
+}
+
+std::string const samples = MASTICSHIFT_SOURCE_DIR "/samples/";
+
+} // namespace
+
+TEST_CASE("the samples pass the check")
+{
+    CHECK(run("check " + samples + "orderdesk.toml").exit_code == 0);
+    auto const result = run("check --json " + samples + "bookings.toml");
+    CHECK(result.exit_code == 0);
+    CHECK(contains(result.output, "\"endpoints\":6"));
+}
+
+TEST_CASE("a faulty text gives line, code and advice")
+{
+    auto const result = run("check " + samples + "entry.toml");
+    CHECK(result.exit_code == 4);
+    CHECK(contains(result.output, "config_unknown_key (401)"));
+    CHECK(contains(result.output, "entry.toml:"));
+    CHECK(contains(result.output, "Remove or correct the key"));
+}
+
+TEST_CASE("faulty command lines are refused with the usage code")
+{
+    for (auto const* arguments :
+         {"", "fly", "check", "check a b", "--bogus", "check --json=perhaps a",
+          "apply a", "show --platform nowhere", "status", "drain --entry 1",
+          "submit --entry 127.0.0.1:1", "cancel", "show --expect",
+          "drain --entry 127.0.0.1:1,127.0.0.1:2",
+          "submit --entry 127.0.0.1:1 --timeout_ms -1"})
+    {
+        INFO(arguments);
+        auto const result = run(arguments);
+        CHECK(result.exit_code == 5);
+        CHECK(contains(result.output, "usage"));
+    }
+}
+
+TEST_CASE("a missing file and an unreachable service are told apart")
+{
+    CHECK(contains(run("check /nonexistent").output, "io_error (506)"));
+    auto const result = run("show --platform 127.0.0.1:1 --json");
+    CHECK(result.exit_code == 2);
+    CHECK(contains(result.output, "\"name\":\"platform_unavailable\""));
+}
+
+TEST_CASE("help and version go to the standard output")
+{
+    CHECK(contains(run("--help").output, "usage: masticshift COMMAND"));
+    CHECK(run("--help").exit_code == 0);
+    CHECK(contains(run("--version").output, "masticshift 0.1.0"));
+}
