Answer heartbeats with heartbeats, so that a pair needs one call

Cause: both entries of a pair sent a heartbeat and an answer in each interval, four messages for two heartbeats. Now a hash of both addresses names the caller, and the answer carries the other heartbeat. The one that is called calls too when it has heard nothing for two intervals, so that a link that is open in one direction only does not look like a dead peer.

Ruled out: the parity of an unmixed FNV-1a as the choice of the caller; the test found that one entry was called by all eight others.

--- a/libs/membership/include/membership/heartbeat.hpp
+++ b/libs/membership/include/membership/heartbeat.hpp
@@ -62,7 +62,8 @@
     friend bool operator==(succession const&, succession const&) = default;
 };
 
-/// What an entry tells its peers in each interval.
+/// What an entry tells a peer in each interval, as a call or as the answer to
+/// the peer's own heartbeat.
 struct heartbeat
 {
     process_id sender;
@@ -71,7 +72,7 @@
     /// Configuration in force, 0 for none.
     std::uint64_t revision = 0;
     bool draining = false;
-    /// Grows by one with each interval of an incarnation.
+    /// Grows with each heartbeat of an incarnation.
     std::int64_t sequence = 0;
     /// Some of the loads; the others stay as they were told before.
     std::vector<service_load> loads;
@@ -84,17 +85,6 @@
     friend bool operator==(heartbeat const&, heartbeat const&) = default;
 };
 
-/// What the receiver of a heartbeat tells its sender.
-struct heartbeat_answer
-{
-    std::int64_t incarnation = 0;
-    std::uint64_t revision = 0;
-    std::uint64_t news_digest = 0;
-
-    friend bool operator==(heartbeat_answer const&,
-                           heartbeat_answer const&) = default;
-};
-
 } // namespace masticshift::membership
 
 #endif
--- a/libs/membership/include/membership/membership_view.hpp
+++ b/libs/membership/include/membership/membership_view.hpp
@@ -39,25 +39,24 @@
     membership_view(process_id self, std::string data_centre,
                     peer_table_settings settings, milliseconds id_retention);
 
-    /// Takes a heartbeat. When its sender knows other news than this entry,
-    /// the next heartbeats carry all that this entry knows.
+    /// Takes a heartbeat or the answer to one. When its sender knows other news
+    /// than this entry, the next heartbeats carry all that this entry knows.
     heard_result heard(heartbeat const& beat, time_point now);
 
-    /// The answer to a heartbeat that was taken.
-    heartbeat_answer answer() const;
-
-    /// Takes the answer of a peer, as `heard` does.
-    void answered(std::string const& address, heartbeat_answer const& answer,
-                  time_point now);
+    /// The answer to a heartbeat of a peer. The peer takes it with `heard`.
+    heartbeat answer(time_point now);
 
     /// Takes a VM list.
     void listed(vm_list const& list, time_point now);
 
     /// The heartbeat of the next interval, with at most
-    /// `loads_per_heartbeat` loads. Its sequence is the round for
-    /// `peer_table::heartbeat_targets`.
+    /// `loads_per_heartbeat` loads. Answers repeat these until the next one.
     heartbeat next_heartbeat(own_state const& own, time_point now);
 
+    /// Addresses that get this heartbeat as a call. The others of the own data
+    /// centre call this entry and get it as an answer.
+    std::vector<std::string> heartbeat_targets(time_point now) const;
+
     /// Forgets what is out of date. Returns the addresses of forgotten peers.
     std::vector<std::string> expire(time_point now);
 
@@ -73,7 +72,9 @@
     void compare_news(std::uint64_t digest, time_point now);
 
     load_selector load_selector_;
+    own_state told_;
     std::int64_t sequence_ = 0;
+    std::int64_t round_ = 0;
 };
 
 } // namespace masticshift::membership
--- a/libs/membership/include/membership/peer_table.hpp
+++ b/libs/membership/include/membership/peer_table.hpp
@@ -28,7 +28,7 @@
     bool leaving = false;
     std::vector<service_load> loads;
     std::int64_t sequence = 0;
-    /// Last heartbeat from it, or its last answer to one of ours.
+    /// Last heartbeat from it, as a call or as an answer.
     time_point last_heard = time_point::min();
     /// Last call to it that failed. Cleared when it is heard of.
     time_point last_failed = time_point::min();
@@ -101,8 +101,7 @@
 
     heard_result heard(heartbeat const& beat, time_point now);
 
-    /// A call to a peer was answered by this incarnation, or it failed.
-    void answered(process_id const& peer, time_point now);
+    /// A call to a peer failed.
     void failed(std::string const& address, time_point now);
 
     /// Forgets dead peers that nothing names any more. Returns their
@@ -124,20 +123,24 @@
     std::vector<peer_state const*> live_in(std::string_view data_centre,
                                            time_point now) const;
 
-    /// Addresses that get a heartbeat in this interval. `round` is the
-    /// sequence of the heartbeat.
+    /// Addresses that get a heartbeat as a call in this interval, which is the
+    /// `round`-th.
     ///
-    /// All peers of the own data centre, and those whose data centre is not
-    /// known yet. With at most `direct_peers` others these too. Else two
-    /// entries of each data centre send to one entry of each other data
-    /// centre; who does is worked out from the live entries alike
+    /// Within the own data centre each pair exchanges one heartbeat and its
+    /// answer in an interval: a hash of both addresses names the caller. The
+    /// other one calls too when it has not heard of the caller for
+    /// `late_after` intervals. So do those whose data centre is not known yet
+    /// and, with at most `direct_peers` others, these.
+    ///
+    /// Else two entries of each data centre send to one entry of each other
+    /// data centre; who does is worked out from the live entries alike
     /// everywhere, and the receivers rotate.
     ///
     /// News thus passes from any entry to all in `news_rounds` intervals, also
     /// while a quarter of the entries is dead and not yet found so, as long as
     /// each data centre has a live entry that can be reached. At 56 entries in
-    /// 7 data centres an entry sends at most 9 heartbeats in an interval, and
-    /// 13 while it hears of no other entry of its data centre.
+    /// 7 data centres an entry sends at most 11 heartbeats and answers in an
+    /// interval, on average.
     std::vector<std::string> heartbeat_targets(std::int64_t round,
                                                time_point now) const;
 
@@ -149,6 +152,7 @@
     /// Peers of other data centres that are sent to directly, at most.
     static constexpr std::size_t direct_peers = 8;
     static constexpr int news_rounds = 6;
+    static constexpr int late_after = 2;
     /// Intervals until the rotation has reached each entry of a data centre.
     static constexpr int rotation = 16;
 
@@ -156,7 +160,9 @@
     using peer_list = std::vector<peer_state const*>;
 
     peer_state* add(std::string const& address);
+    bool calls(peer_state const& peer, time_point now) const;
     bool is_own(peer_state const& peer) const;
+    bool is_elsewhere(peer_state const& peer) const;
     time_point dead_at(peer_state const& peer) const;
     std::size_t own_rank(time_point now, std::size_t& members) const;
     void add_receivers(std::vector<std::string>& targets, std::int64_t round,
--- a/libs/membership/src/membership_view.cpp
+++ b/libs/membership/src/membership_view.cpp
@@ -26,21 +26,6 @@
     return result;
 }
 
-heartbeat_answer membership_view::answer() const
-{
-    return {peers.self().incarnation, configuration.in_force(), news_digest()};
-}
-
-void membership_view::answered(std::string const& address,
-                               heartbeat_answer const& answer, time_point now)
-{
-    if (!peers.known(address))
-        return;
-    peers.answered({address, answer.incarnation}, now);
-    configuration.seen({address}, answer.revision, now);
-    compare_news(answer.news_digest, now);
-}
-
 void membership_view::compare_news(std::uint64_t digest, time_point now)
 {
     if (digest == news_digest())
@@ -60,21 +45,35 @@
 }
 
 heartbeat membership_view::next_heartbeat(own_state const& own, time_point now)
+{
+    ++round_;
+    told_ = own;
+    told_.loads = load_selector_.choose(own.loads, loads_per_heartbeat);
+    return answer(now);
+}
+
+heartbeat membership_view::answer(time_point now)
 {
     heartbeat beat;
     beat.sender = peers.self();
     beat.data_centre = peers.data_centre();
-    beat.generation = own.generation;
+    beat.generation = told_.generation;
     beat.revision = configuration.in_force();
-    beat.draining = own.draining;
+    beat.draining = told_.draining;
     beat.sequence = ++sequence_;
-    beat.loads = load_selector_.choose(own.loads, loads_per_heartbeat);
+    beat.loads = told_.loads;
     beat.news_digest = news_digest();
     beat.leaving_endpoints = leaving.news(now);
     beat.successions = successions.news(now);
     return beat;
 }
 
+std::vector<std::string>
+membership_view::heartbeat_targets(time_point now) const
+{
+    return peers.heartbeat_targets(round_, now);
+}
+
 std::vector<std::string> membership_view::expire(time_point now)
 {
     leaving.expire(now);
--- a/libs/membership/src/news_digest.hpp
+++ b/libs/membership/src/news_digest.hpp
@@ -28,9 +28,14 @@
         return *this;
     }
 
+    /// Mixed by MurmurHash3's finalizer, so that every bit depends on all
+    /// bytes.
     std::uint64_t value() const
     {
-        return value_;
+        auto mixed = value_;
+        mixed = (mixed ^ (mixed >> 33)) * 0xff51afd7ed558ccd;
+        mixed = (mixed ^ (mixed >> 33)) * 0xc4ceb9fe1a85ec53;
+        return mixed ^ (mixed >> 33);
     }
 
 private:
--- a/libs/membership/src/peer_table.cpp
+++ b/libs/membership/src/peer_table.cpp
@@ -1,5 +1,7 @@
 #include <membership/peer_table.hpp>
 
+#include "news_digest.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -137,17 +139,6 @@
     return was_live ? heard_result::known : heard_result::returned;
 }
 
-void peer_table::answered(process_id const& peer, time_point now)
-{
-    auto const found = peers_.find(peer.address);
-    if (found == peers_.end())
-        return;
-    // Another incarnation is taken from its own heartbeats only.
-    if (found->second.incarnation == peer.incarnation)
-        found->second.last_heard = std::max(found->second.last_heard, now);
-    found->second.last_failed = time_point::min();
-}
-
 void peer_table::failed(std::string const& address, time_point now)
 {
     auto const found = peers_.find(address);
@@ -190,6 +181,11 @@
     return peer.data_centre == data_centre_;
 }
 
+bool peer_table::is_elsewhere(peer_state const& peer) const
+{
+    return !peer.data_centre.empty() && !is_own(peer);
+}
+
 time_point peer_table::dead_at(peer_state const& peer) const
 {
     if (peer.last_heard == time_point::min())
@@ -236,34 +232,42 @@
     std::map<std::string, peer_list, std::less<>> others;
     for (auto const& [address, peer] : peers_)
     {
-        if (!peer.data_centre.empty() && !is_own(peer))
+        if (is_elsewhere(peer))
             others[peer.data_centre].push_back(&peer);
     }
     return others;
 }
 
+bool peer_table::calls(peer_state const& peer, time_point now) const
+{
+    auto const late = late_after * settings_.heartbeat_interval;
+    if (peer.last_heard == time_point::min() || now >= peer.last_heard + late)
+        return true;
+    auto const& first = std::min(self_.address, peer.address);
+    auto const& second = std::max(self_.address, peer.address);
+    auto const digest = item_digest().add(first).add(second).value();
+    auto const first_calls = digest % 2 == 0;
+    return first_calls == (first == self_.address);
+}
+
 std::vector<std::string> peer_table::heartbeat_targets(std::int64_t round,
                                                        time_point now) const
 {
+    auto const others =
+        std::ranges::count_if(peers_,
+                              [this](auto const& entry)
+                              {
+                                  return is_elsewhere(entry.second);
+                              });
+    auto const direct = std::cmp_less_equal(others, direct_peers);
     std::vector<std::string> targets;
-    std::size_t others = 0;
     for (auto const& [address, peer] : peers_)
     {
-        if (peer.data_centre.empty() || is_own(peer))
+        if ((direct || !is_elsewhere(peer)) && calls(peer, now))
             targets.push_back(address);
-        else
-            ++others;
     }
-    if (others > direct_peers)
-    {
+    if (!direct)
         add_receivers(targets, round, now);
-        return targets;
-    }
-    for (auto const& [data_centre, peers] : other_data_centres())
-    {
-        for (auto const* peer : peers)
-            targets.push_back(peer->address);
-    }
     return targets;
 }
 
--- a/libs/peer_link/idl/masticshift.thrift
+++ b/libs/peer_link/idl/masticshift.thrift
@@ -44,17 +44,16 @@
   7: list<leaving_notice> leaving_endpoints
   8: bool draining
   9: list<succession> successions
-  // Grows by one with each heartbeat interval of an incarnation.
+  // Grows with each heartbeat of an incarnation.
   10: i64 sequence
   // Digest of all leaving notices and successions that the sender knows.
   // Entries pass on the items while they are new, and when digests differ.
   11: i64 news_digest
 }
 
+// The receiver's own heartbeat, so that it needs no call for it.
 struct heartbeat_reply {
-  1: i64 revision
-  2: i64 incarnation
-  3: i64 news_digest
+  1: heartbeat beat
 }
 
 enum forward_kind {
--- a/libs/peer_link/include/peer_link/heartbeat_conversion.hpp
+++ b/libs/peer_link/include/peer_link/heartbeat_conversion.hpp
@@ -9,12 +9,14 @@
 {
 
 wire::heartbeat to_wire(membership::heartbeat const& beat);
-wire::heartbeat_reply to_wire(membership::heartbeat_answer const& answer);
+
+/// The answer to a heartbeat.
+wire::heartbeat_reply to_wire_reply(membership::heartbeat const& beat);
 
 /// Fails with `peer_protocol` when an address, a number or the name of the
 /// data centre is not one.
 outcome<membership::heartbeat> from_wire(wire::heartbeat const& beat);
-membership::heartbeat_answer from_wire(wire::heartbeat_reply const& reply);
+outcome<membership::heartbeat> from_wire(wire::heartbeat_reply const& reply);
 
 } // namespace masticshift::peer_link
 
--- a/libs/peer_link/src/frame_codec.cpp
+++ b/libs/peer_link/src/frame_codec.cpp
@@ -24,7 +24,7 @@
 
 constexpr int bits_per_byte = 8;
 
-/// Structures within structures, at most. The IDL needs four.
+/// Structures within structures, at most. The IDL needs five.
 constexpr int recursion_limit = 16;
 
 constexpr std::size_t first_buffer_bytes = 512;
@@ -34,11 +34,16 @@
     return {result_code::peer_protocol, std::move(detail)};
 }
 
+std::size_t longest_list(wire::heartbeat const& beat)
+{
+    return std::max({beat.loads.size(), beat.leaving_endpoints.size(),
+                     beat.successions.size()});
+}
+
 std::size_t longest_list(wire::message const& content)
 {
-    return std::max({content.heartbeat_call.loads.size(),
-                     content.heartbeat_call.leaving_endpoints.size(),
-                     content.heartbeat_call.successions.size(),
+    return std::max({longest_list(content.heartbeat_call),
+                     longest_list(content.heartbeat_answer.beat),
                      content.borrow_answer.slots.size(),
                      content.give_back_call.slots.size(),
                      content.handover_call.records.size()});
--- a/libs/peer_link/src/heartbeat_conversion.cpp
+++ b/libs/peer_link/src/heartbeat_conversion.cpp
@@ -138,12 +138,10 @@
     return made;
 }
 
-wire::heartbeat_reply to_wire(model::heartbeat_answer const& answer)
+wire::heartbeat_reply to_wire_reply(model::heartbeat const& beat)
 {
     wire::heartbeat_reply made;
-    made.__set_incarnation(answer.incarnation);
-    made.__set_revision(to_signed(answer.revision));
-    made.__set_news_digest(to_signed(answer.news_digest));
+    made.__set_beat(to_wire(beat));
     return made;
 }
 
@@ -165,11 +163,9 @@
     return made;
 }
 
-model::heartbeat_answer from_wire(wire::heartbeat_reply const& reply)
+outcome<model::heartbeat> from_wire(wire::heartbeat_reply const& reply)
 {
-    auto const revision = std::max<std::int64_t>(reply.revision, 0);
-    return {reply.incarnation, to_unsigned(revision),
-            to_unsigned(reply.news_digest)};
+    return from_wire(reply.beat);
 }
 
 } // namespace masticshift::peer_link
