Prove the spread of news with half of the entries dead

Cause: since answers carry news, the test with a quarter dead no longer failed with one sender for each pair of data centres.

--- a/libs/membership/include/membership/peer_table.hpp
+++ b/libs/membership/include/membership/peer_table.hpp
@@ -137,7 +137,7 @@
     /// everywhere, and the receivers rotate.
     ///
     /// News thus passes from any entry to all in `news_rounds` intervals, also
-    /// while a quarter of the entries is dead and not yet found so, as long as
+    /// while half of the entries is dead and not yet found so, as long as
     /// each data centre has a live entry that can be reached. At 56 entries in
     /// 7 data centres an entry sends at most 11 heartbeats and answers in an
     /// interval, on average.
--- a/libs/membership/tests/news_spread_test.cpp
+++ b/libs/membership/tests/news_spread_test.cpp
@@ -249,7 +249,7 @@
     };
 }
 
-int worst_spread(cluster_shape shape, bool kill_a_quarter, std::uint32_t seeds)
+int worst_spread(cluster_shape shape, bool kill_half, std::uint32_t seeds)
 {
     int worst = 0;
     for (std::uint32_t seed = 1; seed <= seeds; ++seed)
@@ -257,8 +257,8 @@
         cluster entries(shape, seed);
         entries.run(warm_up_rounds);
         auto const origin = entries.draw(entries.size());
-        if (kill_a_quarter)
-            entries.kill(entries.size() / 4, origin);
+        if (kill_half)
+            entries.kill(entries.size() / 2, origin);
         plant(entries, origin);
         worst = std::max(worst, entries.rounds_until(knows_all_of(1)));
     }
@@ -272,8 +272,7 @@
     constexpr std::uint32_t seeds = 60;
     auto const worst = worst_spread({}, false, seeds);
     auto const worst_with_dead = worst_spread({}, true, seeds);
-    MESSAGE("rounds at most: ", worst,
-            ", with a quarter dead: ", worst_with_dead);
+    MESSAGE("rounds at most: ", worst, ", with half dead: ", worst_with_dead);
     CHECK(worst <= peer_table::news_rounds);
     CHECK(worst_with_dead <= peer_table::news_rounds);
 }
