--- a/libs/daemon/src/peer_watch.cpp
+++ b/libs/daemon/src/peer_watch.cpp
@@ -93,7 +93,7 @@
         update(now);
         auto const beat = make_heartbeat(now);
         auto const message = peer_link::to_wire(beat);
-        for (auto& peer : view_.peers.heartbeat_targets(beat.sequence, now))
+        for (auto& peer : view_.heartbeat_targets(now))
             asio::co_spawn(executor_, send(peer, message), asio::detached);
         timer.expires_after(state_.settings.peers.heartbeat_interval);
         co_await timer.async_wait(asio::use_awaitable);
@@ -130,8 +130,11 @@
         view_.peers.failed(peer, now);
         co_return;
     }
-    view_.answered(peer, peer_link::from_wire(result->heartbeat_answer), now);
-    fetcher_.start_next(now);
+    auto const answer = peer_link::from_wire(result->heartbeat_answer);
+    if (answer)
+        take(*answer, now);
+    else
+        log_failure("heartbeat_refused", answer.error());
 }
 
 outcome<wire::heartbeat_reply> peer_watch::hear(wire::heartbeat const& message,
@@ -143,12 +146,16 @@
         log_failure("heartbeat_refused", beat.error());
         return beat.error();
     }
-    auto const result = view_.heard(*beat, now);
-    log_peer(result, beat->sender);
-    learn(beat->successions, now);
+    take(*beat, now);
+    return peer_link::to_wire_reply(view_.answer(now));
+}
+
+void peer_watch::take(membership::heartbeat const& beat, time_point now)
+{
+    log_peer(view_.heard(beat, now), beat.sender);
+    learn(beat.successions, now);
     update(now);
     fetcher_.start_next(now);
-    return peer_link::to_wire(view_.answer());
 }
 
 void peer_watch::learn(std::vector<membership::succession> const& successions,
--- a/libs/daemon/src/peer_watch.hpp
+++ b/libs/daemon/src/peer_watch.hpp
@@ -57,6 +57,7 @@
     membership::heartbeat make_heartbeat(time_point now);
     boost::asio::awaitable<void> send(std::string peer,
                                       wire::heartbeat message);
+    void take(membership::heartbeat const& beat, time_point now);
     /// Passes on what has changed to the router and the placement engine.
     void update(time_point now);
     void update_peers(time_point now);
