--- a/libs/config/include/config/daemon_settings.hpp
+++ b/libs/config/include/config/daemon_settings.hpp
@@ -34,7 +34,11 @@
 {
     std::string data_centre;
     socket_address caller_address;
+    /// What peers connect to. It names this entry.
     socket_address peer_address;
+    /// What is bound for it, where something between the VMs translates
+    /// addresses. The peer address by default.
+    socket_address peer_listen_address;
     socket_address operator_address;
 };
 
--- a/libs/config/src/daemon_keys.cpp
+++ b/libs/config/src/daemon_keys.cpp
@@ -27,14 +27,17 @@
 constexpr value_rule listen_rule{.form = text_form::listen_address};
 constexpr value_rule connect_rule{.form = text_form::connect_address};
 
-constexpr std::array entry_keys{member_key<&entry_settings::data_centre>(
-                                    "data_centre", required, name_rule),
-                                member_key<&entry_settings::caller_address>(
-                                    "caller_address", required, listen_rule),
-                                member_key<&entry_settings::peer_address>(
-                                    "peer_address", required, connect_rule),
-                                member_key<&entry_settings::operator_address>(
-                                    "operator_address", required, listen_rule)};
+constexpr std::array entry_keys{
+    member_key<&entry_settings::data_centre>("data_centre", required,
+                                             name_rule),
+    member_key<&entry_settings::caller_address>("caller_address", required,
+                                                listen_rule),
+    member_key<&entry_settings::peer_address>("peer_address", required,
+                                              connect_rule),
+    member_key<&entry_settings::peer_listen_address>("peer_listen_address",
+                                                     optional, listen_rule),
+    member_key<&entry_settings::operator_address>("operator_address", required,
+                                                  listen_rule)};
 
 constexpr std::array platform_keys{
     member_key<&platform_settings::address>("address", required, connect_rule),
--- a/libs/config/src/daemon_settings.cpp
+++ b/libs/config/src/daemon_settings.cpp
@@ -34,10 +34,11 @@
 read_result check_own_addresses(toml_table const& root,
                                 entry_settings const& entry)
 {
+    auto const& peers = entry.peer_listen_address;
     bool const distinct =
-        !collide(entry.caller_address, entry.peer_address) &&
+        !collide(entry.caller_address, peers) &&
         !collide(entry.caller_address, entry.operator_address) &&
-        !collide(entry.peer_address, entry.operator_address);
+        !collide(peers, entry.operator_address);
     if (distinct)
         return {};
     BOOST_LEAF_AUTO(table, subtable_of(root, "entry"));
@@ -68,6 +69,9 @@
     toml_table const root{origin, "", &parsed};
     daemon_settings settings;
     BOOST_LEAF_CHECK(read_sections(root, settings));
+    auto& entry = settings.entry;
+    if (entry.peer_listen_address.ip.empty())
+        entry.peer_listen_address = entry.peer_address;
     BOOST_LEAF_CHECK(check_own_addresses(root, settings.entry));
     BOOST_LEAF_CHECK(check_peers(root, settings));
     return settings;
--- a/libs/daemon/src/entry.cpp
+++ b/libs/daemon/src/entry.cpp
@@ -148,8 +148,8 @@
     {
         stopped_ = std::move(stopped);
         auto const& addresses = state_.settings.entry;
-        auto opened = peer_server_.listen(addresses.peer_address.ip,
-                                          addresses.peer_address.port);
+        auto opened = peer_server_.listen(addresses.peer_listen_address.ip,
+                                          addresses.peer_listen_address.port);
         if (opened)
             opened = operator_server_.listen(addresses.operator_address.ip,
                                              addresses.operator_address.port);
