Add masticshift-load

Cause: response time against the ideal and wasted messages have to be measured on real processes, open loop, from the time at which each job was due.

Scenarios in TOML give entries with weights, run times, declared sizes and their error, phases of another rate, posts to controls and cancellation waves. Arrivals are Poisson and drawn by seed, apart from the jobs, so that another arrival rate leaves the jobs alike. Messages are read from the entries' metrics before and after; the extra ones are given only when every entry could be read. Results as JSON and as a page with SVG, callers' histories on demand.

Checked: masticshift-load_test, 10 cases.

--- /dev/null
+++ b/tools/masticshift-load/src/job_message.hpp
@@ -0,0 +1,32 @@
+#ifndef MASTICSHIFT_LOAD_JOB_MESSAGE_HPP
+#define MASTICSHIFT_LOAD_JOB_MESSAGE_HPP
+
+#include "job_outcome.hpp"
+#include "job_source.hpp"
+
+#include <history/event.hpp>
+#include <transport/http_message.hpp>
+
+namespace masticshift::load
+{
+
+/// The call that submits a job under an id, as in docs/API.md.
+transport::http_request make_submission(scenario const& plan,
+                                        planned_job const& job,
+                                        std::string const& id);
+
+/// A whole answer as the caller reads it.
+struct read_answer
+{
+    call_end end = call_end::bad_answer;
+    history::call_answered content;
+};
+
+/// `with_digests`: whether the content gets the outputs' digests too.
+read_answer read_submission_answer(scenario const& plan,
+                                   transport::http_response const& response,
+                                   bool with_digests);
+
+} // namespace masticshift::load
+
+#endif
