Write the platform stand-in's history in the form of a log

Cause: its lines had neither a source nor the fields of the checker's events, so that rules 6 and 8 could not be proved from its history. A write of the configuration is now 'committed' with revision and change id, other writes are 'written', and 'vm_state' is written when the shown list changes, after its lag. The test reads the lines with the checker's own parser and checks their values besides the order of the events.

--- a/tools/platform_standin/src/history_file.cpp
+++ b/tools/platform_standin/src/history_file.cpp
@@ -1,5 +1,7 @@
 #include "history_file.hpp"
 
+#include <core/log.hpp>
+
 #include <boost/json/serialize.hpp>
 
 #include <chrono>
@@ -10,6 +12,8 @@
 namespace
 {
 
+constexpr std::string_view source = "platform";
+
 std::int64_t wall_microseconds()
 {
     auto const now = std::chrono::system_clock::now().time_since_epoch();
@@ -35,9 +39,14 @@
 {
     if (!file_.is_open())
         return;
-    fields["us"] = wall_microseconds();
-    fields["event"] = event;
-    file_ << boost::json::serialize(fields) << std::endl;
+    boost::json::object line;
+    line["us"] = wall_microseconds();
+    line["level"] = masticshift::name_of(masticshift::log_level::info);
+    line["source"] = source;
+    line["event"] = event;
+    for (auto& field : fields)
+        line[field.key()] = std::move(field.value());
+    file_ << boost::json::serialize(line) << std::endl;
 }
 
 } // namespace platform_standin
--- a/tools/platform_standin/src/history_file.hpp
+++ b/tools/platform_standin/src/history_file.hpp
@@ -12,7 +12,8 @@
 namespace platform_standin
 {
 
-/// Writes what happened as JSON lines. Without a path it writes nothing.
+/// Writes what happened in the form of `log_event`, to a file of its own.
+/// Without a path it writes nothing.
 class history_file
 {
 public:
--- a/tools/platform_standin/src/platform_service.cpp
+++ b/tools/platform_standin/src/platform_service.cpp
@@ -2,6 +2,8 @@
 
 #include "transaction_body.hpp"
 
+#include <platform/configuration_store.hpp>
+
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
 
@@ -62,6 +64,23 @@
            (request.method == "PUT" && path.starts_with(object_prefix));
 }
 
+/// The configuration that a transaction puts in force, if any.
+std::optional<masticshift::platform::configuration_record>
+configuration_in(masticshift::platform::transaction const& done)
+{
+    for (auto const& write : done.writes)
+    {
+        if (write.key == masticshift::platform::configuration_key() &&
+            write.value)
+        {
+            auto record = masticshift::platform::parse_record(*write.value);
+            if (record)
+                return *std::move(record);
+        }
+    }
+    return std::nullopt;
+}
+
 asio::awaitable<void> pause(milliseconds length)
 {
     asio::steady_timer timer(co_await asio::this_coro::executor, length);
@@ -78,7 +97,15 @@
 platform_service::handle(http_request request)
 {
     if (transport::path_of(request.target) == "/control")
-        co_return change_control(request.body, steady_clock::now());
+    {
+        auto response = change_control(request.body, steady_clock::now());
+        // The list that was set is shown only after its lag.
+        if (control_.vm_lag > milliseconds::zero())
+            asio::co_spawn(co_await asio::this_coro::executor,
+                           record_shown_vms_after(control_.vm_lag),
+                           asio::detached);
+        co_return response;
+    }
     if (control_.hang)
     {
         while (control_.hang)
@@ -103,9 +130,31 @@
     control_ = change->control;
     if (change->vms)
         vms_.set(std::move(*change->vms), now);
+    record_shown_vms(now);
     return json_response(200, {});
 }
 
+void platform_service::record_shown_vms(time_point now)
+{
+    for (auto const& row : vms_.shown(now, control_.vm_lag))
+    {
+        json::object const& vm = row.as_object();
+        std::string const address(vm.at("address").as_string());
+        std::string const state(vm.at("state").as_string());
+        auto& recorded = recorded_vms_[address];
+        if (recorded == state)
+            continue;
+        recorded = state;
+        history_.write("vm_state", {{"address", address}, {"state", state}});
+    }
+}
+
+asio::awaitable<void> platform_service::record_shown_vms_after(milliseconds lag)
+{
+    co_await pause(lag);
+    record_shown_vms(steady_clock::now());
+}
+
 std::optional<http_response>
 platform_service::answer(http_request const& request, time_point now)
 {
@@ -183,12 +232,28 @@
         return json_response(409,
                              {{"conflicts", conflict_rows(result.conflicts)}});
     }
-    history_.write("committed",
-                   {{"writes", write_rows(*parsed, result.versions)}});
+    record_commit(*parsed, result.versions);
     return json_response(200,
                          {{"versions", json::value_from(result.versions)}});
 }
 
+void platform_service::record_commit(
+    masticshift::platform::transaction const& done,
+    std::vector<std::uint64_t> const& versions)
+{
+    json::object fields{{"writes", write_rows(done, versions)}};
+    auto const record = configuration_in(done);
+    if (!record)
+    {
+        history_.write("written", std::move(fields));
+        return;
+    }
+    fields["revision"] = record->revision;
+    fields["change_id"] =
+        record->changes.empty() ? "" : record->changes.back().change_id;
+    history_.write("committed", std::move(fields));
+}
+
 http_response platform_service::put_object(http_request const& request)
 {
     auto const path = transport::path_of(request.target);
--- a/tools/platform_standin/src/platform_service.hpp
+++ b/tools/platform_standin/src/platform_service.hpp
@@ -7,6 +7,7 @@
 #include "vm_history.hpp"
 
 #include <core/time.hpp>
+#include <platform/table.hpp>
 #include <transport/http_message.hpp>
 
 #include <boost/asio/awaitable.hpp>
@@ -14,6 +15,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace platform_standin
 {
@@ -46,11 +48,19 @@
     transport::http_response commit(transport::http_request const& request);
     transport::http_response put_object(transport::http_request const& request);
 
+    void record_commit(masticshift::platform::transaction const& done,
+                       std::vector<std::uint64_t> const& versions);
+    void record_shown_vms(masticshift::time_point now);
+    boost::asio::awaitable<void>
+    record_shown_vms_after(masticshift::milliseconds lag);
+
     history_file& history_;
     fault_control control_;
     table_store tables_;
     std::map<std::string, std::string> objects_;
     vm_history vms_;
+    /// State that the history last named, by address.
+    std::map<std::string, std::string> recorded_vms_;
 };
 
 } // namespace platform_standin
--- a/tools/platform_standin/tests/platform_service_test.cpp
+++ b/tools/platform_standin/tests/platform_service_test.cpp
@@ -2,6 +2,7 @@
 
 #include "transaction_body.hpp"
 
+#include <history/codec.hpp>
 #include <platform/configuration_store.hpp>
 #include <platform/http_platform.hpp>
 #include <platform/timer_wait.hpp>
@@ -219,16 +220,41 @@
         test.apply("a");
         test.apply("a");
         test.apply("b");
+        test.call("POST", "/v1/transactions",
+                  R"({"checks": [], "writes": [
+                      {"table": "t", "key": "k", "value": "1"}]})");
+        test.control(R"({"vms": [{"address": "127.0.0.1:1",
+            "data_centre": "de", "role": "endpoint", "state": "live"}]})");
+        test.control(R"({"delay_ms": 0})");
+        test.control(R"({"vms": [{"address": "127.0.0.1:1",
+            "data_centre": "de", "role": "endpoint", "state": "leaving"}]})");
     }
     std::ifstream file(path);
     std::vector<std::string> events;
+    std::vector<history::line_content> parsed;
     for (std::string line; std::getline(file, line);)
     {
         auto const fields = boost::json::parse(line).as_object();
         events.emplace_back(fields.at("event").as_string());
+        auto content = history::parse_line(line);
+        REQUIRE(content.has_value());
+        if (*content)
+            parsed.push_back(**std::move(content));
     }
-    CHECK(events ==
-          std::vector<std::string>{"committed", "answer_lost", "committed"});
+    CHECK(events == std::vector<std::string>{"committed", "answer_lost",
+                                             "committed", "written", "vm_state",
+                                             "vm_state"});
+    REQUIRE(parsed.size() == 4);
+    auto const& first = std::get<history::committed>(parsed[0].content);
+    CHECK(first.revision == 1);
+    CHECK(first.change_id == "a");
+    CHECK(parsed[0].source == "platform");
+    auto const& second = std::get<history::committed>(parsed[1].content);
+    CHECK(second.revision == 2);
+    CHECK(second.change_id == "b");
+    auto const& last = std::get<history::vm_state>(parsed[3].content);
+    CHECK(last.address == "127.0.0.1:1");
+    CHECK(last.state == history::vm_condition::leaving);
     std::filesystem::remove(path);
     CHECK_FALSE(history_file{}.open("/nonexistent/history").has_value());
 }
