Wait for forwarded calls before an entry stops

Cause: a graceful stop waited for the jobs of this entry, not for its callers whose job runs at another home. After 200 ms the caller server was closed and their connections were cut. The wait is bounded by the drain limit.

--- a/libs/daemon/src/entry.cpp
+++ b/libs/daemon/src/entry.cpp
@@ -40,6 +40,8 @@
 /// Left for answers that are being written when a drain ends.
 constexpr milliseconds answer_time{200};
 
+constexpr milliseconds call_check_interval{20};
+
 transport::http_server_limits
 make_server_limits(config::limit_settings const& settings)
 {
@@ -268,14 +270,26 @@
         }
     }
 
+    /// Calls that wait for a job at another home end later than the jobs here.
+    asio::awaitable<void> finish_calls(time_point limit)
+    {
+        asio::steady_timer timer(executor_, answer_time);
+        co_await timer.async_wait(as_values);
+        while (caller_server_.connections() > 0 && steady_clock::now() < limit)
+        {
+            timer.expires_after(call_check_interval);
+            co_await timer.async_wait(as_values);
+        }
+    }
+
     asio::awaitable<void> run_drain()
     {
+        auto const limit = steady_clock::now() + state_.settings.drain.limit;
         masticshift::daemon::drain graceful(executor_, state_, runner_, watch_,
                                             peer_client_);
         co_await graceful.run();
         caller_server_.close_gracefully();
-        asio::steady_timer timer(executor_, answer_time);
-        co_await timer.async_wait(as_values);
+        co_await finish_calls(limit);
         root_.stop();
         boost::json::object fields;
         fields["cut"] =
