Add the fault matrix on real processes

libs/test_support starts the real programs on ports of the kernel's choice, puts relays between them that cut, silence or delay links, and signals only its own processes by id. tools/fault_matrix crosses 22 faults with 9 steps; a step is hit on an event in a history. Verdicts come from the checker of libs/history alone, with a minimum of facts for each rule. Ruled out on the way: GCC 12 destroys a braced temporary in a co_await expression twice (valgrind), so requests have names of their own.

--- /dev/null
+++ b/libs/test_support/include/test_support/blocking_client.hpp
@@ -0,0 +1,44 @@
+#ifndef MASTICSHIFT_TEST_SUPPORT_BLOCKING_CLIENT_HPP
+#define MASTICSHIFT_TEST_SUPPORT_BLOCKING_CLIENT_HPP
+
+#include <config/daemon_settings.hpp>
+#include <platform/configuration_store.hpp>
+#include <test_support/network_thread.hpp>
+#include <transport/http_client.hpp>
+
+#include <memory>
+#include <string>
+
+namespace masticshift::test_support
+{
+
+/// Calls for threads that wait for the answer.
+class blocking_client
+{
+public:
+    explicit blocking_client(network_thread& network);
+    ~blocking_client();
+
+    blocking_client(blocking_client const&) = delete;
+    blocking_client& operator=(blocking_client const&) = delete;
+
+    transport::call_result call(config::socket_address const& address,
+                                transport::http_request request,
+                                milliseconds patience);
+
+    /// Posts a body to `/control` of a stand-in.
+    outcome<void> control(config::socket_address const& address,
+                          std::string const& body);
+
+    /// Applies a configuration as the command line does.
+    platform::apply_answer apply(config::socket_address const& platform,
+                                 platform::configuration_change change);
+
+private:
+    network_thread& network_;
+    std::unique_ptr<transport::http_client> client_;
+};
+
+} // namespace masticshift::test_support
+
+#endif
--- /dev/null
+++ b/libs/test_support/include/test_support/cluster.hpp
@@ -0,0 +1,128 @@
+#ifndef MASTICSHIFT_TEST_SUPPORT_CLUSTER_HPP
+#define MASTICSHIFT_TEST_SUPPORT_CLUSTER_HPP
+
+#include <test_support/blocking_client.hpp>
+#include <test_support/child_process.hpp>
+#include <test_support/history_writer.hpp>
+#include <test_support/relay.hpp>
+#include <test_support/reserved_port.hpp>
+#include <test_support/scratch_folder.hpp>
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace masticshift::test_support
+{
+
+struct cluster_options
+{
+    /// Folder of the programs.
+    std::string programs;
+    unsigned entries = 3;
+    unsigned endpoints = 4;
+    unsigned slots = 4;
+    milliseconds drain_limit{8'000};
+};
+
+/// An endpoint, and the relay that entries reach it by.
+struct endpoint_place
+{
+    child_process process;
+    config::socket_address address;
+    std::unique_ptr<relay> link;
+    std::string history;
+};
+
+/// An entry, and the relays that its peers reach it by and that it reaches the
+/// platform by.
+struct entry_place
+{
+    std::string name;
+    child_process process;
+    reserved_port caller_port;
+    reserved_port peer_port;
+    reserved_port operator_port;
+    std::unique_ptr<relay> peer_link;
+    std::unique_ptr<relay> platform_link;
+    std::string data_centre;
+    std::string settings;
+    /// One for each process that was started.
+    std::vector<std::string> logs;
+};
+
+/// A platform, endpoints and entries, as real processes on loopback with
+/// relays between them. Members are called on one thread, but for those that
+/// say otherwise.
+class cluster
+{
+public:
+    explicit cluster(cluster_options options);
+
+    /// Starts everything, applies a first configuration and waits until it is
+    /// in force at each entry.
+    outcome<void> start();
+
+    /// Starts the process of an entry anew, on the same addresses.
+    outcome<void> restart_entry(std::size_t index);
+
+    /// Asks all entries to stop and waits for it; then ends the stand-ins.
+    /// Fails when an entry does not stop within its limit.
+    outcome<void> stop();
+
+    /// Waits for an entry's graceful stop.
+    outcome<void> await_stop(entry_place& entry) const;
+
+    /// Applies a next configuration with a fresh change id and records what
+    /// the operator was told. May be called on any thread.
+    platform::apply_answer apply();
+
+    outcome<void> control_platform(std::string const& body);
+    outcome<void> control_endpoint(std::size_t index, std::string const& body);
+    /// Sets the VM list; endpoint 0 is shown as live or as leaving.
+    outcome<void> show_vms(bool first_endpoint_leaves);
+
+    /// Records that an entry is out of reach, or again in reach.
+    void record_cut(std::size_t index);
+    void record_healed(std::size_t index);
+
+    std::vector<entry_place>& entries();
+    std::vector<endpoint_place>& endpoints();
+    history_writer& records();
+    scratch_folder& folder();
+    blocking_client& client();
+
+    std::string platform_history() const;
+    std::vector<std::string> entry_logs() const;
+    std::vector<std::string> endpoint_histories() const;
+    /// Of all processes and of the test itself.
+    std::vector<std::string> histories() const;
+    /// The endpoints' own addresses, by the address of the relay in front.
+    std::map<std::string, std::string> endpoint_names() const;
+
+private:
+    outcome<void> start_platform();
+    outcome<void> start_endpoint(std::size_t index);
+    void prepare_entry(std::size_t index);
+    void write_settings(entry_place const& entry) const;
+    outcome<void> start_entry(entry_place& entry);
+    std::string service_text() const;
+    std::string program(std::string const& name) const;
+
+    cluster_options options_;
+    scratch_folder folder_;
+    history_writer records_;
+    network_thread network_;
+    blocking_client client_;
+    config::socket_address platform_address_;
+    child_process platform_;
+    std::vector<endpoint_place> endpoints_;
+    std::vector<entry_place> entries_;
+    std::atomic<unsigned> changes_ = 0;
+};
+
+} // namespace masticshift::test_support
+
+#endif
--- /dev/null
+++ b/libs/test_support/src/blocking_client.cpp
@@ -0,0 +1,85 @@
+#include <test_support/blocking_client.hpp>
+
+#include <platform/http_platform.hpp>
+#include <platform/timer_wait.hpp>
+
+#include <boost/asio.hpp>
+
+namespace masticshift::test_support
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr milliseconds control_patience{5'000};
+constexpr milliseconds platform_timeout{1'000};
+
+asio::awaitable<platform::apply_answer>
+apply_at(transport::http_client& client, config::socket_address address,
+         platform::configuration_change change)
+{
+    platform::http_platform platform(client, std::move(address),
+                                     platform_timeout);
+    platform::configuration_store store(platform, platform::timer_wait{});
+    co_return co_await store.apply(std::move(change), std::nullopt);
+}
+
+} // namespace
+
+blocking_client::blocking_client(network_thread& network)
+    : network_(network),
+      client_(std::make_unique<transport::http_client>(
+          network.executor(), transport::http_client_limits{}))
+{
+}
+
+blocking_client::~blocking_client()
+{
+    network_.run(
+        [this]
+        {
+            client_.reset();
+        });
+}
+
+transport::call_result
+blocking_client::call(config::socket_address const& address,
+                      transport::http_request request, milliseconds patience)
+{
+    auto const deadline = steady_clock::now() + patience;
+    auto answer = asio::co_spawn(
+        network_.executor(),
+        [&]
+        {
+            return client_->call(address.ip, address.port, std::move(request),
+                                 deadline);
+        },
+        asio::use_future);
+    return answer.get();
+}
+
+outcome<void> blocking_client::control(config::socket_address const& address,
+                                       std::string const& body)
+{
+    auto const answer =
+        call(address, {"POST", "/control", {}, body}, control_patience);
+    if (!answer)
+        return answer.error().error;
+    if (answer->status != 200)
+        return failure{result_code::usage, "/control refused " + body};
+    return {};
+}
+
+platform::apply_answer
+blocking_client::apply(config::socket_address const& platform,
+                       platform::configuration_change change)
+{
+    auto answer = asio::co_spawn(
+        network_.executor(), apply_at(*client_, platform, std::move(change)),
+        asio::use_future);
+    return answer.get();
+}
+
+} // namespace masticshift::test_support
--- /dev/null
+++ b/libs/test_support/src/relay.cpp
@@ -0,0 +1,244 @@
+#include <test_support/relay.hpp>
+
+#include <test_support/reserved_port.hpp>
+
+#include <boost/asio.hpp>
+
+#include <algorithm>
+#include <array>
+#include <vector>
+
+namespace masticshift::test_support
+{
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace
+{
+
+constexpr auto as_values = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t buffer_size = 16 << 10;
+
+/// Two sockets that belong together.
+struct relayed_connection
+{
+    explicit relayed_connection(tcp::socket accepted)
+        : near(std::move(accepted)), far(near.get_executor())
+    {
+    }
+
+    void close()
+    {
+        boost::system::error_code ignored;
+        near.close(ignored);
+        far.close(ignored);
+    }
+
+    tcp::socket near;
+    tcp::socket far;
+    bool silent = false;
+};
+
+using connection_ptr = std::shared_ptr<relayed_connection>;
+
+tcp::endpoint to_endpoint(config::socket_address const& address)
+{
+    return {asio::ip::make_address(address.ip), address.port};
+}
+
+} // namespace
+
+class relay::impl : public std::enable_shared_from_this<relay::impl>
+{
+public:
+    impl(asio::any_io_executor executor, config::socket_address target)
+        : executor_(std::move(executor)),
+          target_(to_endpoint(target)),
+          acceptor_(executor_)
+    {
+    }
+
+    config::socket_address address() const
+    {
+        return port_.address();
+    }
+
+    void open()
+    {
+        if (acceptor_.is_open())
+            return;
+        acceptor_.open(tcp::v4());
+        acceptor_.set_option(tcp::acceptor::reuse_address(true));
+        acceptor_.bind(to_endpoint(address()));
+        acceptor_.listen();
+        asio::co_spawn(executor_, accept(shared_from_this()), asio::detached);
+    }
+
+    void close()
+    {
+        boost::system::error_code ignored;
+        acceptor_.close(ignored);
+        for (auto const& connection : take_connections())
+            connection->close();
+    }
+
+    void set(link_state state)
+    {
+        delays_ = state == link_state::delayed;
+        if (state == link_state::cut)
+            close();
+        else
+            open();
+        if (state != link_state::silent)
+            return;
+        for (auto const& connection : take_connections())
+        {
+            connection->silent = true;
+            connections_.push_back(connection);
+        }
+    }
+
+    void set_delay(milliseconds delay)
+    {
+        delay_ = delay;
+    }
+
+private:
+    using self_ptr = std::shared_ptr<impl>;
+
+    std::vector<connection_ptr> take_connections()
+    {
+        std::vector<connection_ptr> taken;
+        for (auto const& known : connections_)
+        {
+            if (auto connection = known.lock())
+                taken.push_back(std::move(connection));
+        }
+        connections_.clear();
+        return taken;
+    }
+
+    void add(connection_ptr const& connection)
+    {
+        std::erase_if(connections_,
+                      [](auto const& known)
+                      {
+                          return known.expired();
+                      });
+        connections_.push_back(connection);
+    }
+
+    asio::awaitable<void> accept(self_ptr self)
+    {
+        while (acceptor_.is_open())
+        {
+            auto [error, socket] = co_await acceptor_.async_accept(as_values);
+            if (error)
+                co_return;
+            auto const connection =
+                std::make_shared<relayed_connection>(std::move(socket));
+            add(connection);
+            asio::co_spawn(executor_, connect(self, connection),
+                           asio::detached);
+        }
+    }
+
+    asio::awaitable<void> connect(self_ptr self, connection_ptr connection)
+    {
+        auto const [error] =
+            co_await connection->far.async_connect(target_, as_values);
+        if (error)
+        {
+            connection->close();
+            co_return;
+        }
+        boost::system::error_code ignored;
+        connection->near.set_option(tcp::no_delay(true), ignored);
+        connection->far.set_option(tcp::no_delay(true), ignored);
+        asio::co_spawn(
+            executor_,
+            pump(self, connection, connection->far, connection->near),
+            asio::detached);
+        co_await pump(self, connection, connection->near, connection->far);
+    }
+
+    asio::awaitable<void> pump(self_ptr self, connection_ptr connection,
+                               tcp::socket& from, tcp::socket& to)
+    {
+        std::array<char, buffer_size> bytes{};
+        while (true)
+        {
+            auto const [read_error, count] =
+                co_await from.async_read_some(asio::buffer(bytes), as_values);
+            if (read_error)
+                break;
+            if (delays_)
+                co_await pause();
+            if (connection->silent)
+                continue;
+            auto const [write_error, written] = co_await asio::async_write(
+                to, asio::buffer(bytes.data(), count), as_values);
+            if (write_error)
+                break;
+        }
+        // What a silent connection's one end does never reaches the other.
+        if (!connection->silent)
+            connection->close();
+    }
+
+    asio::awaitable<void> pause()
+    {
+        asio::steady_timer timer(executor_, delay_);
+        co_await timer.async_wait(as_values);
+    }
+
+    asio::any_io_executor executor_;
+    tcp::endpoint target_;
+    reserved_port port_;
+    tcp::acceptor acceptor_;
+    std::vector<std::weak_ptr<relayed_connection>> connections_;
+    milliseconds delay_{100};
+    bool delays_ = false;
+};
+
+relay::relay(network_thread& network, config::socket_address target)
+    : network_(network),
+      impl_(std::make_shared<impl>(network.executor(), std::move(target)))
+{
+    set(link_state::passing);
+}
+
+relay::~relay()
+{
+    network_.run(
+        [this]
+        {
+            impl_->close();
+        });
+}
+
+config::socket_address relay::address() const
+{
+    return impl_->address();
+}
+
+void relay::set(link_state state)
+{
+    network_.run(
+        [&]
+        {
+            impl_->set(state);
+        });
+}
+
+void relay::set_delay(milliseconds delay)
+{
+    network_.run(
+        [&]
+        {
+            impl_->set_delay(delay);
+        });
+}
+
+} // namespace masticshift::test_support
--- /dev/null
+++ b/tools/fault_matrix/src/caller.cpp
@@ -0,0 +1,194 @@
+#include "caller.hpp"
+
+#include <boost/asio.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/json.hpp>
+
+namespace masticshift::fault_matrix
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr unsigned attempts = 6;
+constexpr unsigned tasks_of_a_job = 3;
+constexpr unsigned timeout_ms = 2'500;
+/// So short that an entry refuses at once.
+constexpr unsigned hopeless_timeout_ms = 1;
+/// Longer than a forwarded call may take.
+constexpr milliseconds call_patience{6'000};
+constexpr milliseconds home_patience{1'000};
+constexpr milliseconds retry_pause{50};
+constexpr milliseconds submission_pause{5};
+constexpr unsigned shortest_run_ms = 2;
+constexpr unsigned longest_run_ms = 40;
+
+// Each n-th submission is of this kind.
+constexpr unsigned doubled_every = 4;
+constexpr unsigned repeated_every = 5;
+constexpr unsigned hopeless_every = 6;
+constexpr unsigned unknown_every = 11;
+
+bool is_settled(history::call_answered const& answer)
+{
+    return answer.code == result_code::ok || answer.ran == ran_state::not_run ||
+           answer.ran == ran_state::ran;
+}
+
+} // namespace
+
+caller::caller(load_state& state, unsigned number, unsigned seed)
+    : state_(state),
+      name_("caller-" + std::to_string(number)),
+      random_(seed * 1'000 + number),
+      entry_(number % state.entries.size())
+{
+}
+
+asio::awaitable<void> caller::run()
+{
+    while (!state_.ends && submissions_ < state_.most_submissions)
+    {
+        ++submissions_;
+        if (token_.empty())
+            co_await learn_home();
+        if (!token_.empty())
+            co_await submit_next();
+        co_await pause(submission_pause);
+    }
+    ++state_.finished_callers;
+}
+
+asio::awaitable<void> caller::learn_home()
+{
+    auto const address = state_.entries[entry_];
+    // A name of its own: GCC 12 destroys such a temporary of a co_await twice.
+    transport::http_request request;
+    request.target = "/v1/home";
+    auto const answer = co_await state_.client.call(
+        address.ip, address.port, std::move(request),
+        steady_clock::now() + home_patience);
+    if (answer)
+        token_ = answer->fields["Masticshift-Home"];
+    else
+        entry_ = other_entry();
+}
+
+asio::awaitable<void> caller::submit_next()
+{
+    auto const what = make_submission();
+    auto const running = state_.running.insert(what.id);
+    co_await settle(what);
+    state_.running.erase(running);
+    ++state_.settled;
+    // The home has to remember how it ended, refusals included: a later
+    // attempt with more time must not run it.
+    if (submissions_ % repeated_every == 0 ||
+        submissions_ % hopeless_every == 0)
+    {
+        auto again = what;
+        if (again.kind == history::call_kind::request)
+            again.timeout_ms = timeout_ms;
+        co_await attempt(std::move(again), other_entry());
+    }
+}
+
+asio::awaitable<void> caller::settle(submission what)
+{
+    using namespace asio::experimental::awaitable_operators;
+    for (unsigned i = 0; i < attempts; ++i)
+    {
+        std::optional<history::call_answered> answer;
+        if (i == 0 && submissions_ % doubled_every == 0)
+        {
+            auto const [first, second] = co_await (
+                attempt(what, entry_) && attempt(what, other_entry()));
+            answer = first ? first : second;
+        }
+        else
+        {
+            answer = co_await attempt(what, entry_);
+        }
+        if (answer && is_settled(*answer))
+            co_return;
+        entry_ = other_entry();
+        co_await pause(retry_pause);
+    }
+    token_.clear();
+}
+
+asio::awaitable<std::optional<history::call_answered>>
+caller::attempt(submission what, std::size_t entry)
+{
+    auto const address = state_.entries[entry];
+    auto const call = ++last_call_;
+    auto request = to_request(what);
+    state_.records.write(name_, to_event(what, call, to_string(address)));
+    auto const answer = co_await state_.client.call(
+        address.ip, address.port, std::move(request),
+        steady_clock::now() + call_patience);
+    if (!answer)
+    {
+        record_failure(what, call, answer.error());
+        co_return std::nullopt;
+    }
+    auto const answered = to_event(what, call, *answer);
+    state_.records.write(name_, answered);
+    auto const home = answer->fields["Masticshift-Home"];
+    if (!home.empty())
+        token_ = home;
+    co_return answered;
+}
+
+void caller::record_failure(submission const& what, std::uint64_t call,
+                            transport::call_failure const& failed)
+{
+    bool const gave_up = failed.error.code == result_code::deadline_passed;
+    if (failed.stage == transport::call_stage::written && !gave_up)
+        state_.records.write(name_, history::call_broken{call, what.id});
+}
+
+submission caller::make_submission()
+{
+    submission made;
+    made.id = token_ + "." + name_ + "-" + std::to_string(submissions_);
+    made.service = random_() % 2 == 0 ? "stock" : "orderdesk";
+    made.timeout_ms = timeout_ms;
+    bool const is_job = random_() % 2 == 0;
+    made.kind = is_job ? history::call_kind::job : history::call_kind::request;
+    made.idempotent = !is_job && random_() % 2 == 0;
+    for (unsigned i = 0; i < (is_job ? tasks_of_a_job : 1); ++i)
+        made.inputs.push_back(make_input(i));
+    if (submissions_ % hopeless_every == 0)
+        made.timeout_ms = hopeless_timeout_ms;
+    if (submissions_ % unknown_every == 0)
+        made.service = "absent";
+    return made;
+}
+
+std::string caller::make_input(unsigned task)
+{
+    auto const span = longest_run_ms - shortest_run_ms;
+    boost::json::object input;
+    input["caller"] = name_;
+    input["submission"] = submissions_;
+    input["task"] = task;
+    input["run_ms"] = shortest_run_ms + random_() % span;
+    return boost::json::serialize(input);
+}
+
+std::size_t caller::other_entry()
+{
+    auto const count = state_.entries.size();
+    return (entry_ + 1 + random_() % (count - 1)) % count;
+}
+
+asio::awaitable<void> caller::pause(milliseconds length)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, length);
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+} // namespace masticshift::fault_matrix
--- /dev/null
+++ b/tools/fault_matrix/src/row_run.cpp
@@ -0,0 +1,281 @@
+#include "row_run.hpp"
+
+#include "call_load.hpp"
+#include "fault_injector.hpp"
+
+#include <test_support/cluster.hpp>
+#include <test_support/log_watch.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <future>
+#include <thread>
+
+namespace masticshift::fault_matrix
+{
+
+namespace
+{
+
+using history::rule;
+using test_support::log_watch;
+
+constexpr unsigned first_submissions = 30;
+constexpr unsigned last_submissions = 30;
+constexpr milliseconds step_patience{10'000};
+constexpr milliseconds progress_patience{20'000};
+/// Longer than any caller's last submission takes.
+constexpr milliseconds finish_patience{60'000};
+/// After this the checker holds entries to a committed revision.
+constexpr milliseconds configuration_settling{3'300};
+
+std::size_t index_of(rule number)
+{
+    return static_cast<std::size_t>(number) - 1;
+}
+
+/// The facts that each run has to show, and the row's own rule.
+history::check_options options_for(row const& what)
+{
+    history::check_options options;
+    options.minimum[index_of(rule::task_starts_once)] = 20;
+    options.minimum[index_of(rule::answer_complete)] = 20;
+    options.minimum[index_of(rule::answer_own)] = 20;
+    options.minimum[index_of(rule::not_run_true)] = 1;
+    options.minimum[index_of(rule::request_runs_once)] = 5;
+    options.minimum[index_of(rule::graceful_stop)] = 1;
+    options.minimum[index_of(rule::configuration_in_force)] = 3;
+    auto& own = options.minimum[index_of(what.guards)];
+    own = std::max<std::size_t>(own, 1);
+    return options;
+}
+
+std::string to_text(history::rule_report const& report)
+{
+    return "rule " + std::to_string(static_cast<unsigned>(report.number));
+}
+
+void add_findings(std::vector<history::rule_report> const& reports,
+                  verdict& result)
+{
+    for (auto const& report : reports)
+    {
+        if (report.examined < report.required)
+            result.reasons.push_back(
+                to_text(report) + ": " + std::to_string(report.examined) +
+                " facts of " + std::to_string(report.required));
+        for (auto const& broken : report.violations)
+        {
+            result.reasons.push_back(to_text(report) + ": " + broken.detail);
+            for (auto const& line : broken.evidence)
+                result.reasons.push_back("    " + line);
+        }
+    }
+}
+
+/// Gives endpoints the name that they have for themselves: entries know them
+/// by the address of the relay in front.
+class endpoint_naming
+{
+public:
+    explicit endpoint_naming(std::map<std::string, std::string> names)
+        : names_(std::move(names))
+    {
+    }
+
+    void operator()(history::task_started& started) const
+    {
+        rename(started.endpoint);
+    }
+
+    void operator()(history::endpoint_leaving_seen& seen) const
+    {
+        rename(seen.endpoint);
+    }
+
+    void operator()(history::vm_state& shown) const
+    {
+        rename(shown.address);
+    }
+
+    template <class Event>
+    void operator()(Event&) const
+    {
+    }
+
+private:
+    void rename(std::string& address) const
+    {
+        auto const known = names_.find(address);
+        if (known != names_.end())
+            address = known->second;
+    }
+
+    std::map<std::string, std::string> names_;
+};
+
+class row_run
+{
+public:
+    row_run(row const& what, run_options const& options)
+        : what_(what), options_(options), system_(system_options(options))
+    {
+    }
+
+    verdict run()
+    {
+        auto const started = system_.start();
+        if (!started)
+            return fail("start: " + started.error().detail);
+        run_load();
+        auto const stopped = system_.stop();
+        if (!stopped)
+            fail("stop: " + stopped.error().detail);
+        check();
+        result_.passed = result_.reasons.empty();
+        if (!result_.passed)
+            keep_histories();
+        return result_;
+    }
+
+private:
+    static test_support::cluster_options
+    system_options(run_options const& options)
+    {
+        test_support::cluster_options made;
+        made.programs = options.programs;
+        return made;
+    }
+
+    verdict fail(std::string const& reason)
+    {
+        result_.reasons.push_back(reason);
+        return result_;
+    }
+
+    void run_load()
+    {
+        load_options wanted;
+        wanted.seed = options_.seed;
+        for (auto const& entry : system_.entries())
+            wanted.entries.push_back(entry.caller_port.address());
+        call_load load(wanted, system_.records());
+        fault_injector injector(system_, load);
+        load.start();
+        if (!load.wait_for(first_submissions, progress_patience))
+            fail("no progress before the fault");
+        reach_step();
+        strike_and_heal(injector);
+        injector.await_operators();
+        restart_entry();
+        if (!load.wait_for(last_submissions, progress_patience))
+            fail("no progress after the fault");
+        if (what_.guards == rule::configuration_in_force)
+            std::this_thread::sleep_for(configuration_settling);
+        if (!load.finish(finish_patience))
+            fail("a caller did not settle");
+    }
+
+    std::vector<std::string> step_logs()
+    {
+        switch (info_of(what_.at).seen_by)
+        {
+        case observer::caller:
+            return {system_.folder().file("test.jsonl")};
+        case observer::entry:
+            return system_.entry_logs();
+        case observer::endpoint:
+            return system_.endpoint_histories();
+        case observer::platform:
+            break;
+        }
+        return {system_.platform_history()};
+    }
+
+    void reach_step()
+    {
+        log_watch watch(step_logs());
+        if (needs_drain(what_.at))
+            system_.entries().front().process.signal(SIGTERM);
+        if (what_.at == step::apply)
+            applying_ = std::async(std::launch::async,
+                                   [this]
+                                   {
+                                       return system_.apply();
+                                   });
+        if (!watch.wait_for(std::string(info_of(what_.at).event),
+                            step_patience))
+            fail("the step was not reached");
+    }
+
+    void strike_and_heal(fault_injector& injector)
+    {
+        milliseconds length{0};
+        for (auto const kind : what_.faults)
+        {
+            injector.strike(kind);
+            length = std::max(length, info_of(kind).length);
+        }
+        std::this_thread::sleep_for(length);
+        for (auto const kind : what_.faults)
+            injector.heal(kind);
+        if (applying_.valid())
+            applying_.wait();
+    }
+
+    void restart_entry()
+    {
+        auto& entry = system_.entries().front();
+        bool const killed =
+            std::ranges::find(what_.faults, fault::kill_entry) !=
+            what_.faults.end();
+        if (!killed && !needs_drain(what_.at))
+            return;
+        auto const stopped =
+            killed ? outcome<void>{} : system_.await_stop(entry);
+        if (!stopped)
+            fail(stopped.error().detail);
+        auto const started = system_.restart_entry(0);
+        if (!started)
+            fail("restart: " + started.error().detail);
+        if (killed)
+            system_.record_healed(0);
+    }
+
+    void check()
+    {
+        auto read = history::read_history(system_.histories());
+        if (!read)
+        {
+            fail(read.error().detail);
+            return;
+        }
+        endpoint_naming const rename(system_.endpoint_names());
+        for (auto& each : read->records)
+            std::visit(rename, each.content);
+        auto const reports = history::check(*read, options_for(what_));
+        add_findings(reports, result_);
+        result_.examined = reports.at(index_of(what_.guards)).examined;
+    }
+
+    void keep_histories()
+    {
+        system_.folder().keep();
+        result_.folder = system_.folder().path();
+    }
+
+    row const& what_;
+    run_options const& options_;
+    test_support::cluster system_;
+    std::future<platform::apply_answer> applying_;
+    verdict result_;
+};
+
+} // namespace
+
+verdict run_row(row const& what, run_options const& options)
+{
+    return row_run(what, options).run();
+}
+
+} // namespace masticshift::fault_matrix
--- /dev/null
+++ b/tools/fault_matrix/src/submission.hpp
@@ -0,0 +1,35 @@
+#ifndef MASTICSHIFT_FAULT_MATRIX_SUBMISSION_HPP
+#define MASTICSHIFT_FAULT_MATRIX_SUBMISSION_HPP
+
+#include <history/event.hpp>
+#include <transport/http_message.hpp>
+
+#include <string>
+#include <vector>
+
+namespace masticshift::fault_matrix
+{
+
+/// What a caller wants to have run.
+struct submission
+{
+    std::string id;
+    std::string service;
+    history::call_kind kind = history::call_kind::job;
+    bool idempotent = false;
+    unsigned timeout_ms = 0;
+    /// JSON, one for each task.
+    std::vector<std::string> inputs;
+};
+
+transport::http_request to_request(submission const& what);
+
+history::call_sent to_event(submission const& what, std::uint64_t call,
+                            std::string entry);
+
+history::call_answered to_event(submission const& what, std::uint64_t call,
+                                transport::http_response const& answer);
+
+} // namespace masticshift::fault_matrix
+
+#endif
