--- /dev/null
+++ b/libs/test_support/tests/relay_test.cpp
@@ -0,0 +1,106 @@
+#include <test_support/blocking_client.hpp>
+#include <test_support/child_process.hpp>
+#include <test_support/relay.hpp>
+#include <test_support/scratch_folder.hpp>
+
+#include <doctest/doctest.h>
+
+#include <sys/wait.h>
+
+#include <csignal>
+
+using namespace masticshift;
+using namespace masticshift::test_support;
+
+namespace
+{
+
+constexpr milliseconds patience{10'000};
+constexpr milliseconds short_patience{100};
+
+/// An endpoint behind a relay.
+struct fixture
+{
+    scratch_folder folder;
+    child_process process;
+    config::socket_address target;
+    network_thread network;
+    std::unique_ptr<relay> link;
+    std::unique_ptr<blocking_client> client;
+
+    fixture()
+    {
+        auto started =
+            child_process::start({MASTICSHIFT_BIN_DIR "/endpoint_standin",
+                                  "--listen", "127.0.0.1:0"},
+                                 folder.file("err"));
+        REQUIRE(started.has_value());
+        process = *std::move(started);
+        auto const lines = process.read_until("ready", patience);
+        REQUIRE(lines.has_value());
+        auto const& first = lines->front();
+        target =
+            config::parse_socket_address(first.substr(first.rfind(' ') + 1))
+                .value();
+        link = std::make_unique<relay>(network, target);
+        client = std::make_unique<blocking_client>(network);
+    }
+
+    transport::call_result call(milliseconds allowed = patience)
+    {
+        transport::http_request request;
+        request.target = "/absent";
+        return client->call(link->address(), std::move(request), allowed);
+    }
+};
+
+} // namespace
+
+TEST_CASE("a relay passes calls on, and none while it is cut")
+{
+    fixture test;
+    CHECK(test.call()->status == 404);
+    test.link->set(link_state::cut);
+    auto const refused = test.call();
+    REQUIRE_FALSE(refused.has_value());
+    CHECK(refused.error().stage == transport::call_stage::not_connected);
+    test.link->set(link_state::passing);
+    CHECK(test.call()->status == 404);
+}
+
+TEST_CASE("a silent relay loses what open connections carry, not new ones")
+{
+    fixture test;
+    CHECK(test.call()->status == 404);
+    test.link->set(link_state::silent);
+    auto const lost = test.call(short_patience);
+    REQUIRE_FALSE(lost.has_value());
+    CHECK(lost.error().stage == transport::call_stage::written);
+    CHECK(lost.error().error.code == result_code::deadline_passed);
+    CHECK(test.call()->status == 404);
+}
+
+TEST_CASE("a killed process ends by the signal and its port answers no more")
+{
+    fixture test;
+    test.process.signal(SIGSTOP);
+    CHECK_FALSE(test.process.wait(short_patience).has_value());
+    test.process.kill();
+    auto const status = test.process.wait(patience);
+    REQUIRE(status.has_value());
+    CHECK(WTERMSIG(*status) == SIGKILL);
+    CHECK_FALSE(test.call().has_value());
+}
+
+TEST_CASE("a program that is absent or ends at once is no ready process")
+{
+    scratch_folder folder;
+    CHECK_FALSE(
+        child_process::start({"/nonexistent/program"}, folder.file("err"))
+            .has_value());
+    auto started = child_process::start(
+        {MASTICSHIFT_BIN_DIR "/endpoint_standin", "--speed", "0"},
+        folder.file("err"));
+    REQUIRE(started.has_value());
+    CHECK_FALSE(started->read_until("ready", patience).has_value());
+}
