--- a/libs/daemon/include/daemon/supervisor.hpp
+++ b/libs/daemon/include/daemon/supervisor.hpp
@@ -38,10 +38,10 @@
     supervisor& operator=(supervisor const&) = delete;
 
     /// Adds a node below this one.
-    supervisor& add_supervisor(std::string name);
+    supervisor& add_supervisor(std::string const& name);
 
     /// Starts a loop.
-    void add(std::string name, loop body);
+    void add(std::string const& name, loop body);
 
     /// Stops the children, the latest first. They are not restarted.
     void stop();
--- a/libs/daemon/src/entry.cpp
+++ b/libs/daemon/src/entry.cpp
@@ -90,7 +90,8 @@
 class entry::impl
 {
 public:
-    impl(asio::any_io_executor executor, config::daemon_settings settings)
+    impl(asio::any_io_executor const& executor,
+         config::daemon_settings settings)
         : executor_(executor),
           state_(std::move(settings)),
           endpoint_client_(executor,
@@ -327,8 +328,9 @@
     peer_link::peer_server peer_server_;
 };
 
-entry::entry(asio::any_io_executor executor, config::daemon_settings settings)
-    : impl_(std::make_unique<impl>(std::move(executor), std::move(settings)))
+entry::entry(asio::any_io_executor const& executor,
+             config::daemon_settings settings)
+    : impl_(std::make_unique<impl>(executor, std::move(settings)))
 {
 }
 
--- a/libs/daemon/src/submission_service.cpp
+++ b/libs/daemon/src/submission_service.cpp
@@ -83,13 +83,13 @@
     log_event(log_level::info, "call_routed", std::move(fields));
 }
 
-wire::forward make_forward(submission_call call, std::string id)
+wire::forward make_forward(submission_call const& call, std::string const& id)
 {
     wire::forward message;
     message.__set_kind(wire::forward_kind::submit);
-    message.__set_id(std::move(id));
-    message.__set_body(std::move(call.body));
-    message.__set_request_service(std::move(call.service));
+    message.__set_id(id);
+    message.__set_body(call.body);
+    message.__set_request_service(call.service);
     message.__set_idempotent(call.idempotent);
     message.__set_timeout_ms(static_cast<std::int32_t>(call.timeout.count()));
     return message;
@@ -155,7 +155,7 @@
     }
     auto const named = parsed->timeout;
     auto const timeout = named.count() > 0 ? named : unknown_timeout;
-    auto message = make_forward(std::move(call), parsed->id);
+    auto message = make_forward(call, parsed->id);
     co_return co_await forward(route.address, std::move(message), timeout);
 }
 
@@ -191,7 +191,7 @@
                                   homes::submission_number number,
                                   time_point now)
 {
-    auto const started = std::make_shared<job>(executor_, std::move(what));
+    auto started = std::make_shared<job>(executor_, std::move(what));
     started->id = id;
     started->id_text = started->what.id;
     started->table_number = number;
--- a/libs/daemon/src/supervisor.cpp
+++ b/libs/daemon/src/supervisor.cpp
@@ -53,14 +53,14 @@
 
 supervisor::~supervisor() = default;
 
-supervisor& supervisor::add_supervisor(std::string name)
+supervisor& supervisor::add_supervisor(std::string const& name)
 {
     supervisors_.push_back(
         std::make_unique<supervisor>(executor_, path_ + "/" + name));
     return *supervisors_.back();
 }
 
-void supervisor::add(std::string name, loop body)
+void supervisor::add(std::string const& name, loop body)
 {
     auto const started = std::make_shared<child>();
     started->status.path = path_ + "/" + name;
--- a/libs/transport/tests/http_test.cpp
+++ b/libs/transport/tests/http_test.cpp
@@ -51,7 +51,7 @@
         asio::co_spawn(context, body,
                        [&](std::exception_ptr thrown)
                        {
-                           problem = thrown;
+                           problem = std::move(thrown);
                            context.stop();
                        });
         context.run_for(patience);
