--- a/tools/masticshift-load/src/main.cpp
+++ b/tools/masticshift-load/src/main.cpp
@@ -15,6 +15,9 @@
 
 DEFINE_string(report, "", "file for the result as JSON; standard output else");
 DEFINE_string(html, "", "file for the result as a page");
+DEFINE_string(summary, "",
+              "name of a line with the main figures on standard "
+              "output; no line else");
 DEFINE_string(history, "", "file that the callers' history is appended to");
 DEFINE_string(source, "load", "name of the callers in the history");
 
@@ -75,6 +78,26 @@
     return written;
 }
 
+/// One line that stands in a table of several runs.
+void print_summary(load::load_results const& results)
+{
+    auto const ideal = load::ideal_messages(results.jobs, results.tasks_ok);
+    auto const extra = results.messages.total() - ideal;
+    auto const tasks = std::max<std::uint64_t>(results.tasks_ok, 1);
+    auto const measured = results.slowdown.count();
+    std::uint64_t ended = 0;
+    for (auto const& [name, count] : results.ends)
+        ended += count;
+    std::printf(
+        "%-24s ok %6zu of %6llu  slowdown mean %6.2f p99 %7.2f  "
+        "added ms p50 %7.2f p99 %8.2f  extra/task %6.3f  "
+        "lag p99 %5.2f\n",
+        FLAGS_summary.c_str(), measured, static_cast<unsigned long long>(ended),
+        results.slowdown.mean(), results.slowdown.quantile(0.99),
+        results.added_ms.quantile(0.5), results.added_ms.quantile(0.99),
+        extra / static_cast<double>(tasks), results.send_lag_ms.quantile(0.99));
+}
+
 int run(std::string const& path)
 {
     auto const plan = load::load_scenario(path);
@@ -96,6 +119,8 @@
     context.run();
     if (!ended)
         return fail(ended.error());
+    if (!FLAGS_summary.empty())
+        print_summary(run.results());
     auto const written = write_reports(run.results(), path);
     return written ? EXIT_SUCCESS : fail(written.error());
 }
