Hold the connection limit of endpoints and refuse unknown policies

Cause: the key 'connections' of an endpoint was read and used nowhere, so that 64 connections over all entries were not held; an unknown placement policy was silently taken as 'lending'. Each entry now opens at most its share of the limit among the live entries; entries that see each other differently may exceed it for a while. Ruled out: leases on connections, since an endpoint's refusal is safe. transport_test: a call over the limit is not written.

--- a/libs/daemon/include/daemon/entry.hpp
+++ b/libs/daemon/include/daemon/entry.hpp
@@ -12,6 +12,10 @@
 namespace masticshift::daemon
 {
 
+/// Checks what the parser of the settings can't know, the name of the
+/// placement policy. Fails with `config_out_of_range`.
+outcome<void> check_settings(config::daemon_settings const& settings);
+
 /// One entry of the dispatcher: all services of a `masticshiftd` process.
 ///
 /// All members are called on the executor's thread, of which there is one.
@@ -19,6 +23,7 @@
 class entry
 {
 public:
+    /// The settings have to pass `check_settings`.
     entry(boost::asio::any_io_executor const& executor,
           config::daemon_settings settings);
     ~entry();
--- a/libs/daemon/src/entry.cpp
+++ b/libs/daemon/src/entry.cpp
@@ -111,7 +111,8 @@
           view_(make_view(state_)),
           fetcher_(executor, state_, view_.configuration, holder_, store_,
                    peer_client_),
-          watch_(executor, state_, view_, runner_, fetcher_, peer_client_),
+          watch_(executor, state_, view_, runner_, fetcher_, peer_client_,
+                 endpoint_client_),
           platform_watch_(state_, platform_, store_, make_platform_hooks()),
           caller_api_(state_, submissions_),
           peer_api_(state_, submissions_, runner_,
@@ -328,6 +329,20 @@
     peer_link::peer_server peer_server_;
 };
 
+outcome<void> check_settings(config::daemon_settings const& settings)
+{
+    std::string known;
+    for (auto const name : placement::policy_names())
+    {
+        if (name == settings.placement.policy)
+            return {};
+        known += (known.empty() ? "" : ", ") + std::string(name);
+    }
+    return failure{result_code::config_out_of_range,
+                   "placement.policy: '" + settings.placement.policy +
+                       "' is none of " + known};
+}
+
 entry::entry(asio::any_io_executor const& executor,
              config::daemon_settings settings)
     : impl_(std::make_unique<impl>(executor, std::move(settings)))
--- a/libs/daemon/src/entry_state.cpp
+++ b/libs/daemon/src/entry_state.cpp
@@ -59,10 +59,7 @@
     options.loan = settings.placement.loan;
     options.loan_batch = settings.placement.loan_batch;
     options.borrow_timeout = settings.peers.call_timeout;
-    auto chosen = placement::make_engine(settings.placement.policy, options);
-    if (chosen)
-        return std::move(*chosen);
-    return *placement::make_engine(placement::lending_policy::name, options);
+    return placement::make_engine(settings.placement.policy, options).value();
 }
 
 } // namespace
--- a/libs/daemon/src/peer_watch.cpp
+++ b/libs/daemon/src/peer_watch.cpp
@@ -63,13 +63,15 @@
 peer_watch::peer_watch(asio::any_io_executor executor, entry_state& state,
                        membership::membership_view& view, job_runner& runner,
                        configuration_fetcher& fetcher,
-                       peer_link::peer_client& peers)
+                       peer_link::peer_client& peers,
+                       transport::http_client& endpoints)
     : executor_(std::move(executor)),
       state_(state),
       view_(view),
       runner_(runner),
       fetcher_(fetcher),
-      peers_(peers)
+      peers_(peers),
+      endpoints_(endpoints)
 {
     std::vector<std::string> configured;
     for (auto const& address : state_.settings.peers.addresses)
@@ -199,6 +201,7 @@
 {
     update_peers(now);
     update_leaving(now);
+    update_connections(now);
     runner_.schedule_placement();
 }
 
@@ -235,6 +238,27 @@
     state_.engine.set_leaving(leaving_, now);
 }
 
+// Entries that see each other differently may exceed the limit for a while;
+// an endpoint then refuses, and the task is placed anew.
+void peer_watch::update_connections(time_point now)
+{
+    if (!state_.configuration)
+        return;
+    auto const revision = state_.configuration->revision;
+    auto const entries = view_.peers.live(now).size() + 1;
+    if (revision == shared_revision_ && entries == shared_entries_)
+        return;
+    shared_revision_ = revision;
+    shared_entries_ = entries;
+    for (auto const& [name, endpoint] : state_.configuration->endpoints)
+    {
+        auto const share = endpoint.connections / entries;
+        auto const limit = std::max<std::size_t>(share, 1);
+        endpoints_.set_max_connections(endpoint.ip, endpoint.port,
+                                       static_cast<unsigned>(limit));
+    }
+}
+
 std::vector<std::string> peer_watch::successors(time_point now) const
 {
     std::vector<std::string> near;
--- a/libs/daemon/src/peer_watch.hpp
+++ b/libs/daemon/src/peer_watch.hpp
@@ -9,6 +9,7 @@
 #include <peer_link/peer_client.hpp>
 #include <peer_link/wire.hpp>
 #include <platform/vm_list.hpp>
+#include <transport/http_client.hpp>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/json/value.hpp>
@@ -29,7 +30,8 @@
 public:
     peer_watch(boost::asio::any_io_executor executor, entry_state& state,
                membership::membership_view& view, job_runner& runner,
-               configuration_fetcher& fetcher, peer_link::peer_client& peers);
+               configuration_fetcher& fetcher, peer_link::peer_client& peers,
+               transport::http_client& endpoints);
 
     /// Sends heartbeats until it is cancelled.
     boost::asio::awaitable<void> run();
@@ -62,6 +64,8 @@
     void update(time_point now);
     void update_peers(time_point now);
     void update_leaving(time_point now);
+    /// Shares the connections that an endpoint takes among the live entries.
+    void update_connections(time_point now);
     void learn(std::vector<membership::succession> const& successions,
                time_point now);
 
@@ -71,7 +75,11 @@
     job_runner& runner_;
     configuration_fetcher& fetcher_;
     peer_link::peer_client& peers_;
+    transport::http_client& endpoints_;
     std::vector<std::string> leaving_;
+    /// What the shares were last worked out from.
+    std::uint64_t shared_revision_ = 0;
+    std::size_t shared_entries_ = 0;
 };
 
 } // namespace masticshift::daemon
--- a/libs/transport/include/transport/http_client.hpp
+++ b/libs/transport/include/transport/http_client.hpp
@@ -89,6 +89,12 @@
     /// Connections that are open to an address, in use or kept.
     unsigned connections(std::string const& ip, std::uint16_t port) const;
 
+    /// Bounds the connections to one address, in place of the limit of all.
+    /// A call that would exceed it fails with `too_many_connections`, not
+    /// connected.
+    void set_max_connections(std::string const& ip, std::uint16_t port,
+                             unsigned limit);
+
     /// Closes kept connections that were idle for too long.
     void close_idle(time_point now);
 
--- a/libs/transport/src/http_client.cpp
+++ b/libs/transport/src/http_client.cpp
@@ -36,6 +36,8 @@
     /// Kept ones, the latest used last.
     std::vector<connection_ptr> kept;
     unsigned in_use = 0;
+    /// 0: no limit.
+    unsigned max_connections = 0;
 
     unsigned open() const
     {
@@ -173,6 +175,12 @@
         return found == pools_.end() ? 0 : found->second->open();
     }
 
+    void set_max_connections(std::string const& ip, std::uint16_t port,
+                             unsigned limit)
+    {
+        pool_of(ip, port)->max_connections = limit;
+    }
+
     void close_idle(time_point now)
     {
         for (auto const& [address, shared_pool] : pools_)
@@ -192,7 +200,10 @@
     {
         auto& found = pools_[{ip, port}];
         if (!found)
+        {
             found = std::make_shared<pool>();
+            found->max_connections = limits_.max_connections;
+        }
         return found;
     }
 
@@ -213,9 +224,8 @@
     connect(pool const& from, std::string const& ip, std::uint16_t port,
             time_point deadline)
     {
-        bool const bounded = limits_.max_connections != 0;
         // The caller's own use is already counted.
-        if (bounded && from.open() > limits_.max_connections)
+        if (from.max_connections != 0 && from.open() > from.max_connections)
             co_return failed(call_stage::not_connected,
                              result_code::too_many_connections,
                              "all connections are in use");
@@ -313,6 +323,12 @@
     return impl_->connections(ip, port);
 }
 
+void http_client::set_max_connections(std::string const& ip, std::uint16_t port,
+                                      unsigned limit)
+{
+    impl_->set_max_connections(ip, port, limit);
+}
+
 void http_client::close_idle(time_point now)
 {
     impl_->close_idle(now);
--- a/libs/transport/tests/http_test.cpp
+++ b/libs/transport/tests/http_test.cpp
@@ -236,3 +236,37 @@
             CHECK_FALSE(refused.has_value());
         });
 }
+
+TEST_CASE("calls over the connection limit of an address are not written")
+{
+    fixture f;
+    int served = 0;
+    http_client* nested = nullptr;
+    std::uint16_t port = 0;
+    call_result inner = call_failure{};
+    auto const call_again = [&](http_request request)
+        -> asio::awaitable<std::optional<http_response>>
+    {
+        if (++served == 1)
+            inner = co_await f.call(*nested, port, plain);
+        co_return co_await echo(std::move(request));
+    };
+    http_server server(f.context.get_executor(), f.limits, call_again,
+                       error_answer);
+    REQUIRE(server.listen(loopback, 0));
+    port = server.port();
+    http_client client(f.context.get_executor(), {});
+    nested = &client;
+    client.set_max_connections(loopback, port, 1);
+    f.run(
+        [&]() -> asio::awaitable<void>
+        {
+            auto const outer = co_await f.call(client, port, plain);
+            CHECK(outer.has_value());
+            REQUIRE_FALSE(inner.has_value());
+            CHECK(inner.error().stage == call_stage::not_connected);
+            CHECK(inner.error().error.code ==
+                  result_code::too_many_connections);
+            CHECK(served == 1);
+        });
+}
--- a/tools/masticshiftd/src/main.cpp
+++ b/tools/masticshiftd/src/main.cpp
@@ -63,6 +63,9 @@
     auto settings = config::load_daemon_settings(FLAGS_settings);
     if (!settings)
         return report(settings.error());
+    auto const checked = daemon::check_settings(*settings);
+    if (!checked)
+        return report(checked.error());
     if (FLAGS_check)
         return exit_code_of(result_code::ok);
     if (settings->log.source.empty())
