Answer when a handler throws, and close idle connections gracefully

Cause, read in review: an exception of a handler, or a status or field that Beast refuses, ended the session's coroutine without an answer and left a dangling pointer in the list of sessions, which stop() then used. A graceful close left idle connections open until the stop cut them, and reset those that clients had made but the acceptor had not taken. A read timer whose handler was queued as the read ended could refuse the next request.

Proof: 3 new tests of http_test.cpp failed before (6 of 9 passed), all 9 pass now. The queued timer and the waiting connections have no test of their own.

--- a/libs/transport/src/http_server.cpp
+++ b/libs/transport/src/http_server.cpp
@@ -3,6 +3,7 @@
 #include "beast_types.hpp"
 
 #include <list>
+#include <stdexcept>
 
 namespace masticshift::transport
 {
@@ -15,7 +16,7 @@
 constexpr std::size_t read_chunk_bytes = 4'096;
 
 /// How long a refused client is read from, so that it gets its answer before
-/// the connection ends.
+/// the connection ends. Also the time for a request once the server closes.
 constexpr milliseconds linger{500};
 
 struct session
@@ -31,6 +32,30 @@
     /// socket, and the client would get no answer.
     asio::steady_timer read_timer;
     bool read_timed_out = false;
+    /// Waits for the first byte of a request.
+    bool idle = false;
+};
+
+/// Lists a session for as long as it is served.
+class session_entry
+{
+public:
+    session_entry(std::list<session*>& sessions, session& open)
+        : sessions_(sessions), place_(sessions.insert(sessions.end(), &open))
+    {
+    }
+
+    ~session_entry()
+    {
+        sessions_.erase(place_);
+    }
+
+    session_entry(session_entry const&) = delete;
+    session_entry& operator=(session_entry const&) = delete;
+
+private:
+    std::list<session*>& sessions_;
+    std::list<session*>::iterator place_;
 };
 
 void start_read_timer(std::shared_ptr<session> const& open, duration limit)
@@ -40,7 +65,9 @@
         [watched = std::weak_ptr(open)](beast::error_code error)
         {
             auto const late = watched.lock();
-            if (error || !late)
+            // The read may have ended while this handler was queued.
+            if (error || !late ||
+                steady_clock::now() < late->read_timer.expiry())
                 return;
             late->read_timed_out = true;
             late->stream.cancel();
@@ -78,6 +105,32 @@
 
 } // namespace
 
+using response_message = http::response<http::string_body>;
+
+/// Throws when the response can't be written as HTTP.
+response_message make_message(http_response response, unsigned version,
+                              bool keep)
+{
+    response_message message;
+    message.version(version);
+    message.result(response.status);
+    for (auto const& field : response.fields.list)
+    {
+        if (field.value.find_first_of("\r\n") != std::string::npos)
+            throw std::invalid_argument("a header field has a line break");
+        message.set(field.name, field.value);
+    }
+    message.body() = std::move(response.body);
+    message.keep_alive(keep);
+    message.prepare_payload();
+    return message;
+}
+
+bool asks_to_close(http_response const& response)
+{
+    return beast::iequals(response.fields["Connection"], "close");
+}
+
 class http_server::impl : public std::enable_shared_from_this<impl>
 {
 public:
@@ -120,9 +173,16 @@
 
     void close_gracefully()
     {
-        closing_ = true;
+        if (std::exchange(closing_, true))
+            return;
+        accept_waiting();
         beast::error_code ignored;
         acceptor_.close(ignored);
+        for (auto* const open : sessions_)
+        {
+            if (open->idle)
+                open->stream.cancel();
+        }
     }
 
     void stop()
@@ -159,10 +219,30 @@
                 co_await pause.async_wait(as_values);
                 continue;
             }
-            beast::error_code ignored;
-            socket.set_option(tcp::no_delay(true), ignored);
-            asio::co_spawn(self->executor_, serve(self, std::move(socket)),
-                           asio::detached);
+            self->begin(std::move(socket));
+        }
+    }
+
+    void begin(tcp::socket socket)
+    {
+        beast::error_code ignored;
+        socket.set_option(tcp::no_delay(true), ignored);
+        asio::co_spawn(executor_, serve(shared_from_this(), std::move(socket)),
+                       asio::detached);
+    }
+
+    /// Takes the connections that clients have already made: closing the
+    /// acceptor would reset them.
+    void accept_waiting()
+    {
+        beast::error_code error;
+        acceptor_.non_blocking(true, error);
+        while (!error)
+        {
+            tcp::socket socket(executor_);
+            acceptor_.accept(socket, error);
+            if (!error)
+                begin(std::move(socket));
         }
     }
 
@@ -178,11 +258,10 @@
             co_await self->refuse(open, full);
             co_return;
         }
-        auto const place = self->sessions_.insert(self->sessions_.end(), &open);
+        session_entry const listed(self->sessions_, open);
         bool keep = true;
         while (keep)
             keep = co_await self->serve_one(owned);
-        self->sessions_.erase(place);
         beast::error_code ignored;
         open.stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
     }
@@ -196,7 +275,7 @@
         request_parser parser;
         start_read_timer(owned, limits_.request_read);
         auto const error = co_await read(open, parser);
-        open.read_timer.cancel();
+        open.read_timer.expires_at(time_point::max());
         if (open.read_timed_out)
         {
             failure const late{result_code::request_timeout,
@@ -212,22 +291,44 @@
         }
         bool const keep_alive = parser.keep_alive();
         unsigned const version = parser.get().version();
-        auto response = co_await handler_(take_request(parser));
+        auto response = co_await answer(take_request(parser));
         if (!response)
             co_return false;
-        bool const keep = keep_alive && !closing_;
+        bool const keep = keep_alive && !closing_ && !asks_to_close(*response);
         if (!co_await write(open, std::move(*response), version, keep))
             co_return false;
         co_return keep;
     }
 
+    /// What the handler answers, or an error when it throws.
+    asio::awaitable<std::optional<http_response>> answer(http_request request)
+    {
+        try
+        {
+            co_return co_await handler_(std::move(request));
+        }
+        catch (std::exception const& error)
+        {
+            failure const fault{result_code::internal, error.what()};
+            auto response = error_answer_(fault);
+            response.fields.set("Connection", "close");
+            co_return response;
+        }
+    }
+
     asio::awaitable<bool> wait_for_request(session& open)
     {
-        open.stream.expires_after(limits_.idle);
+        open.stream.expires_after(closing_ ? linger : limits_.idle);
+        open.idle = true;
         auto [error, size] = co_await open.stream.async_read_some(
             open.buffer.prepare(read_chunk_bytes), as_values);
+        open.idle = false;
         open.buffer.commit(size);
-        co_return !error;
+        if (!error)
+            co_return true;
+        // A request may have arrived just as the server was told to close.
+        beast::error_code ignored;
+        co_return closing_&& open.stream.socket().available(ignored) > 0;
     }
 
     asio::awaitable<beast::error_code> read(session& open,
@@ -257,20 +358,27 @@
     asio::awaitable<bool> write(session& open, http_response response,
                                 unsigned version, bool keep)
     {
-        http::response<http::string_body> message;
-        message.version(version);
-        message.result(response.status);
-        for (auto const& field : response.fields.list)
-            message.set(field.name, field.value);
-        message.body() = std::move(response.body);
-        message.keep_alive(keep);
-        message.prepare_payload();
+        auto message = make_valid_message(std::move(response), version, keep);
         open.stream.expires_after(limits_.write);
         auto [error, size] =
             co_await http::async_write(open.stream, message, as_values);
         co_return !error;
     }
 
+    response_message make_valid_message(http_response response,
+                                        unsigned version, bool keep)
+    {
+        try
+        {
+            return make_message(std::move(response), version, keep);
+        }
+        catch (std::exception const& error)
+        {
+            failure const fault{result_code::internal, error.what()};
+            return make_message(error_answer_(fault), version, keep);
+        }
+    }
+
     /// Answers with an error and reads on for a moment: closing a socket with
     /// unread bytes resets it, which can destroy the answer on its way.
     asio::awaitable<void> refuse(session& open, failure error)
--- a/libs/transport/tests/http_test.cpp
+++ b/libs/transport/tests/http_test.cpp
@@ -236,3 +236,69 @@
             CHECK_FALSE(refused.has_value());
         });
 }
+
+TEST_CASE("a handler that throws is answered and leaves no connection behind")
+{
+    fixture f;
+    auto const fail =
+        [](http_request) -> asio::awaitable<std::optional<http_response>>
+    {
+        throw std::runtime_error("fault");
+        co_return std::nullopt;
+    };
+    http_server server(f.context.get_executor(), f.limits, fail, error_answer);
+    REQUIRE(server.listen(loopback, 0));
+    http_client client(f.context.get_executor(), {});
+    f.run(
+        [&]() -> asio::awaitable<void>
+        {
+            auto const answer = co_await f.call(client, server.port(), plain);
+            REQUIRE(answer.has_value());
+            CHECK(answer->body == "internal");
+            while (server.connections() > 0)
+                co_await asio::post(f.context, asio::use_awaitable);
+        });
+    CHECK(server.connections() == 0);
+}
+
+TEST_CASE("an answer that can't be sent as HTTP becomes an error")
+{
+    fixture f;
+    auto const bad_status =
+        [](http_request) -> asio::awaitable<std::optional<http_response>>
+    {
+        http_response answer;
+        answer.status = 1'000;
+        co_return answer;
+    };
+    http_server server(f.context.get_executor(), f.limits, bad_status,
+                       error_answer);
+    REQUIRE(server.listen(loopback, 0));
+    http_client client(f.context.get_executor(), {});
+    f.run(
+        [&]() -> asio::awaitable<void>
+        {
+            auto const answer = co_await f.call(client, server.port(), plain);
+            REQUIRE(answer.has_value());
+            CHECK(answer->body == "internal");
+        });
+}
+
+TEST_CASE("a graceful close ends idle connections")
+{
+    fixture f;
+    http_server server(f.context.get_executor(), f.limits, echo, error_answer);
+    REQUIRE(server.listen(loopback, 0));
+    http_client client(f.context.get_executor(), {});
+    f.run(
+        [&]() -> asio::awaitable<void>
+        {
+            auto const answer = co_await f.call(client, server.port(), plain);
+            CHECK(answer.has_value());
+            CHECK(server.connections() == 1);
+            server.close_gracefully();
+            while (server.connections() > 0)
+                co_await asio::post(f.context, asio::use_awaitable);
+        });
+    CHECK(server.connections() == 0);
+}
