Survive a job that ends while its tasks are placed

Cause, read in review: a task whose attempt fails before its first wait can end its job within the same round of placement; the next task of that round then looked the job up and threw out of the event loop, which ends the daemon. The owners of a round are looked up first now.

A call that was given up before its first byte, because its job had ended or its deadline had passed, was counted as a failed connect, so that a wave of cancellations paused healthy endpoints. It is counted as cancelled now.

Proof: 'a job may end while its other tasks are being placed' threw unordered_map::at before; 'a cancellation during the connect is no fault of the endpoint' saw 4 failed connects where there are 0 now. The tests run the runner and the supervisor over real loopback connections; also covered: placed anew, crossed, lost, retried, late, cancelled and recovered tasks.

--- a/libs/daemon/src/endpoint_protocol.cpp
+++ b/libs/daemon/src/endpoint_protocol.cpp
@@ -51,6 +51,13 @@
 {
     task_reply reply;
     reply.detail = failed.error.detail;
+    if (failed.stage == call_stage::not_written &&
+        failed.error.code == result_code::cancelled)
+    {
+        reply.result = task_result::cancelled;
+        reply.code = result_code::cancelled;
+        return reply;
+    }
     if (failed.stage != call_stage::written)
     {
         reply.result = task_result::not_connected;
--- a/libs/daemon/src/job_runner.cpp
+++ b/libs/daemon/src/job_runner.cpp
@@ -180,14 +180,13 @@
 void job_runner::place()
 {
     auto const now = steady_clock::now();
-    for (auto const& chosen : engine_.place(now))
-    {
-        config::socket_address const endpoint{chosen.endpoint->ip,
-                                              chosen.endpoint->port};
-        auto const& running = jobs_.at(chosen.task.job);
-        asio::co_spawn(executor_, run_task(running, chosen, endpoint),
-                       asio::detached);
-    }
+    auto const chosen = engine_.place(now);
+    // Looked up before any starts: one that fails at once may end its job.
+    std::vector<job_ptr> owners;
+    for (auto const& assignment : chosen)
+        owners.push_back(jobs_.at(assignment.task.job));
+    for (std::size_t i = 0; i < chosen.size(); ++i)
+        start_task(owners[i], chosen[i], now);
     for (auto& request : engine_.wanted(now))
         hooks_.borrow(std::move(request));
     for (auto& returned : engine_.surplus(now))
@@ -195,6 +194,21 @@
     arm_timer(now);
 }
 
+void job_runner::start_task(job_ptr const& running,
+                            placement::assignment const& chosen, time_point now)
+{
+    if (running->has_ended())
+    {
+        engine_.finished(chosen.task, task_result::cancelled, duration::zero(),
+                         now);
+        return;
+    }
+    config::socket_address const endpoint{chosen.endpoint->ip,
+                                          chosen.endpoint->port};
+    asio::co_spawn(executor_, run_task(running, chosen, endpoint),
+                   asio::detached);
+}
+
 void job_runner::arm_timer(time_point now)
 {
     auto const next = engine_.next_event(now);
@@ -309,6 +323,8 @@
         place_anew(running, task, reply, now);
     else if (reply.result == task_result::ok)
         complete_task(running, ended, std::move(reply), now);
+    else if (reply.result == task_result::cancelled)
+        drop_unwritten(running, ended, now);
     else if (reply.result == task_result::lost && retry(running, now))
         ++metrics_.requests_retried;
     else
@@ -366,6 +382,14 @@
     fail(running, result_code::endpoint_refused, reply.detail, now);
 }
 
+// Its job has ended, or the deadline has passed before the timer noticed.
+void job_runner::drop_unwritten(job& running, job_task& task, time_point now)
+{
+    task.phase = task_phase::waiting;
+    fail(running, result_code::deadline_passed, "the time allowed has passed",
+         now);
+}
+
 // Only a request has a single task, so its job is known to the engine no more
 // when that task has ended.
 bool job_runner::retry(job& running, time_point now)
--- a/libs/daemon/src/job_runner.hpp
+++ b/libs/daemon/src/job_runner.hpp
@@ -69,6 +69,8 @@
 
 private:
     void place();
+    void start_task(job_ptr const& running, placement::assignment const& chosen,
+                    time_point now);
     void arm_timer(time_point now);
     void arm_deadline(job_ptr const& started);
     boost::asio::awaitable<void> run_task(job_ptr running,
@@ -82,6 +84,7 @@
                        time_point now);
     void place_anew(job& running, placement::task_ref task,
                     task_reply const& reply, time_point now);
+    void drop_unwritten(job& running, job_task& task, time_point now);
     bool retry(job& running, time_point now);
     void fail(job& running, result_code code, std::string const& detail,
               time_point now);
