Refuse impossible fields of peers and ids in header fields

Causes, read in review and seen in the new tests before the change: - an id with a percent-encoded or JSON line break added header fields of the caller's choice to its answer; an id that can't be parsed is only in the body now - a forwarded call of an unknown kind cancelled the job; a negative or too long wait was taken; both are malformed_request now - a status, count or generation out of range was taken from a peer - each GET that gave up waiting left a wait behind until the job ended (4 where 1 is due); it is cancelled now - a request without a service was forwarded as a job - an endpoint's error text cut inside a character made the answer no JSON fetch() and cancel() share their look-up, and an id that the table shows as running but whose job is not there is answered outcome_unknown; no way to that state was found, so that it has no test. While an entry drains, its answers close their connections.

--- a/libs/daemon/src/answer.cpp
+++ b/libs/daemon/src/answer.cpp
@@ -12,6 +12,8 @@
 
 constexpr unsigned status_accepted = 202;
 
+constexpr unsigned char max_ascii = 0x7f;
+
 bool is_json(std::string_view text)
 {
     boost::system::error_code error;
@@ -20,17 +22,32 @@
     return !error;
 }
 
+/// Texts of others go into error answers, which have to be JSON: a text that
+/// is no UTF-8 keeps its ASCII characters only.
+std::string to_valid_text(std::string_view text)
+{
+    std::string valid(text);
+    if (is_json(json::serialize(json::string(valid))))
+        return valid;
+    for (auto& character : valid)
+    {
+        if (static_cast<unsigned char>(character) > max_ascii)
+            character = '?';
+    }
+    return valid;
+}
+
 } // namespace
 
 homes::answer_ptr make_error_answer(std::string_view id, result_code code,
                                     ran_state ran, std::string_view detail)
 {
     json::object body;
-    body["id"] = id;
+    body["id"] = to_valid_text(id);
     body["code"] = static_cast<int>(code);
     body["name"] = name_of(code);
     body["ran"] = name_of(ran);
-    body["detail"] = detail;
+    body["detail"] = to_valid_text(detail);
     homes::kept_answer answer;
     answer.code = code;
     answer.ran = ran;
--- a/libs/daemon/src/answer.hpp
+++ b/libs/daemon/src/answer.hpp
@@ -33,6 +33,14 @@
 /// string.
 std::string to_json_value(std::string output);
 
+/// Whether a number that a peer sent can be the status of an answer.
+constexpr bool is_http_status(int number)
+{
+    constexpr int lowest = 200;
+    constexpr int highest = 599;
+    return number >= lowest && number <= highest;
+}
+
 } // namespace masticshift::daemon
 
 #endif
--- a/libs/daemon/src/caller_api.cpp
+++ b/libs/daemon/src/caller_api.cpp
@@ -23,7 +23,6 @@
 constexpr std::string_view request_prefix = "/v1/requests/";
 
 constexpr milliseconds default_wait{10'000};
-constexpr milliseconds longest_wait{60'000};
 
 std::optional<milliseconds> parse_milliseconds(std::string_view text,
                                                milliseconds longest)
@@ -50,6 +49,9 @@
 {
     ++state_.metrics.caller_calls;
     auto response = co_await route(std::move(request));
+    // The connection is not to be in use when the entry stops.
+    if (state_.draining)
+        response.fields.set("Connection", "close");
     ++state_.metrics.caller_answers;
     co_return response;
 }
@@ -161,7 +163,8 @@
     http_response response;
     response.status = answer.http_status;
     response.fields.set("Content-Type", answer.content_type);
-    response.fields.set("Masticshift-Id", call.id);
+    if (!call.id.empty())
+        response.fields.set("Masticshift-Id", call.id);
     response.fields.set("Masticshift-Code",
                         std::to_string(static_cast<int>(answer.code)));
     response.fields.set("Masticshift-Ran", name_of(answer.ran));
--- a/libs/daemon/src/handover_wire.cpp
+++ b/libs/daemon/src/handover_wire.cpp
@@ -1,5 +1,7 @@
 #include "handover_wire.hpp"
 
+#include "answer.hpp"
+
 #include <algorithm>
 
 namespace masticshift::daemon
@@ -30,7 +32,8 @@
     auto const code = result_code_of(message.code);
     auto const ran = ran_state_of(message.ran);
     bool const digest_fits = message.digest.size() == homes::digest_size;
-    if (!id || !code || !ran || !digest_fits)
+    bool const has_status = is_http_status(message.http_status);
+    if (!id || !code || !ran || !digest_fits || !has_status)
         return failure{result_code::peer_protocol, "a malformed record"};
     record.id = std::move(*id);
     std::ranges::copy(message.digest, record.digest.bytes.begin());
@@ -68,6 +71,9 @@
 
 outcome<homes::handover_part> from_wire(wire::handover message)
 {
+    if (message.oldest_generation < 0 || message.newest_generation < 0 ||
+        message.record_count < 0)
+        return failure{result_code::peer_protocol, "a negative count"};
     homes::handover_part part;
     part.header.process.address = message.address;
     part.header.process.incarnation =
--- a/libs/daemon/src/peer_api.cpp
+++ b/libs/daemon/src/peer_api.cpp
@@ -1,5 +1,6 @@
 #include "peer_api.hpp"
 
+#include "answer.hpp"
 #include "handover_wire.hpp"
 #include "loan_wire.hpp"
 
@@ -29,6 +30,11 @@
     return make_message(std::move(reply));
 }
 
+bool is_wait(std::int32_t wait_ms)
+{
+    return wait_ms >= 0 && wait_ms <= longest_wait.count();
+}
+
 submission_call make_call(wire::forward message)
 {
     submission_call call;
@@ -81,15 +87,21 @@
         answered = co_await submissions_.submit(std::move(submitted),
                                                 call_origin::peer);
     }
-    else if (call.kind == wire::forward_kind::fetch)
+    else if (call.kind == wire::forward_kind::fetch && is_wait(call.wait_ms))
     {
         answered = co_await submissions_.fetch(
             call.id, milliseconds(call.wait_ms), call_origin::peer);
     }
-    else
+    else if (call.kind == wire::forward_kind::cancel)
     {
         answered = co_await submissions_.cancel(call.id, call_origin::peer);
     }
+    else
+    {
+        answered.answer =
+            make_error_answer(call.id, result_code::malformed_request,
+                              ran_state::unknown, "no such call on an id");
+    }
     co_return make_reply(answered);
 }
 
--- a/libs/daemon/src/submission.cpp
+++ b/libs/daemon/src/submission.cpp
@@ -143,6 +143,8 @@
 {
     if (call.timeout < milliseconds(0) || call.timeout > max_timeout)
         return malformed("the timeout is out of range");
+    if (call.service.empty())
+        return malformed("the service is missing");
     into.id = call.id;
     into.service = call.service;
     into.idempotent = call.idempotent;
--- a/libs/daemon/src/submission_service.cpp
+++ b/libs/daemon/src/submission_service.cpp
@@ -5,6 +5,8 @@
 #include <core/log.hpp>
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <random>
@@ -66,10 +68,21 @@
                    ran_state::unknown, "the home of this id is gone");
 }
 
-/// An id that can't be parsed names no submission, so that none ever ran.
+/// An id that can't be parsed names no submission, so that none ever ran. It
+/// may be any text, so that it is no header field of the answer.
 call_answer bad_id(std::string id, failure const& error)
 {
-    return refusal(std::move(id), error.code, ran_state::not_run, error.detail);
+    auto answered =
+        refusal(std::move(id), error.code, ran_state::not_run, error.detail);
+    answered.id.clear();
+    return answered;
+}
+
+/// The table says that the id runs, but no job of it is there.
+call_answer lost_track(std::string id)
+{
+    return refusal(std::move(id), result_code::outcome_unknown,
+                   ran_state::unknown, "the job of this id is not known");
 }
 
 void log_route(std::string_view id, homes::route const& chosen)
@@ -95,12 +108,25 @@
     return message;
 }
 
+/// A call on an id other than its submission.
+wire::forward make_call(wire::forward_kind::type kind, std::string id)
+{
+    wire::forward message;
+    message.__set_kind(kind);
+    message.__set_id(std::move(id));
+    return message;
+}
+
 call_answer take_reply(std::string id, wire::forward_reply reply)
 {
+    auto const code = result_code_of(reply.code);
+    auto const ran = ran_state_of(reply.ran);
+    if (!code || !ran || !is_http_status(reply.http_status))
+        return refusal(std::move(id), result_code::outcome_unknown,
+                       ran_state::unknown, "the home's answer is malformed");
     homes::kept_answer answer;
-    answer.code =
-        result_code_of(reply.code).value_or(result_code::peer_protocol);
-    answer.ran = ran_state_of(reply.ran).value_or(ran_state::unknown);
+    answer.code = *code;
+    answer.ran = *ran;
     answer.http_status = static_cast<unsigned>(reply.http_status);
     answer.body = std::move(reply.body);
     answer.content_type = std::move(reply.content_type);
@@ -176,7 +202,9 @@
     if (decision.kind == decision_kind::attach)
     {
         ++state_.metrics.resubmissions;
-        running = running_.at(decision.number);
+        running = find_running(decision.number);
+        if (!running)
+            co_return lost_track(id_text);
     }
     else
     {
@@ -255,67 +283,70 @@
                       "the home did not answer: " + failed.error.detail);
 }
 
-asio::awaitable<call_answer> submission_service::fetch(std::string id_text,
-                                                       milliseconds wait,
-                                                       call_origin origin)
+job_ptr submission_service::find_running(homes::submission_number number) const
+{
+    auto const found = running_.find(number);
+    return found == running_.end() ? nullptr : found->second;
+}
+
+submission_service::lookup
+submission_service::look_up(std::string const& id_text,
+                            call_origin origin) const
 {
     auto const id = homes::parse_submission_id(id_text);
     if (!id)
-        co_return bad_id(id_text, id.error());
+        return {bad_id(id_text, id.error()), nullptr, {}};
     auto const route = state_.router.find_route(*id, origin);
     log_route(id_text, route);
     if (route.kind == route_kind::unknown_home)
-        co_return unreachable(id_text);
+        return {unreachable(id_text), nullptr, {}};
     if (route.kind == route_kind::forward)
-    {
-        wire::forward message;
-        message.__set_kind(wire::forward_kind::fetch);
-        message.__set_id(id_text);
-        message.__set_wait_ms(static_cast<std::int32_t>(wait.count()));
-        co_return co_await forward(route.address, std::move(message), wait);
-    }
+        return {{}, nullptr, route.address};
     auto const decision = route.kind == route_kind::local
                               ? state_.table.find(*id)
                               : state_.inherited.find(*id);
     if (decision.kind == decision_kind::answered)
-        co_return call_answer{id_text, decision.answer};
+        return {{id_text, decision.answer}, nullptr, {}};
     if (decision.kind == decision_kind::refused)
-        co_return refusal(id_text, decision);
-    auto const running = running_.at(decision.number);
+        return {refusal(id_text, decision), nullptr, {}};
+    if (auto running = find_running(decision.number))
+        return {{}, std::move(running), {}};
+    return {lost_track(id_text), nullptr, {}};
+}
+
+asio::awaitable<call_answer>
+submission_service::fetch(std::string id, milliseconds wait, call_origin origin)
+{
+    auto const found = look_up(id, origin);
+    if (found.answered.answer)
+        co_return found.answered;
+    if (!found.running)
+    {
+        auto message = make_call(wire::forward_kind::fetch, id);
+        message.__set_wait_ms(static_cast<std::int32_t>(wait.count()));
+        co_return co_await forward(found.home, std::move(message), wait);
+    }
+    auto const& running = found.running;
     co_await wait_for_end(running, wait);
     auto const answer =
-        running->has_ended() ? running->answer : make_running_answer(id_text);
-    co_return call_answer{id_text, answer};
+        running->has_ended() ? running->answer : make_running_answer(id);
+    co_return call_answer{id, answer};
 }
 
-asio::awaitable<call_answer> submission_service::cancel(std::string id_text,
+asio::awaitable<call_answer> submission_service::cancel(std::string id,
                                                         call_origin origin)
 {
-    auto const id = homes::parse_submission_id(id_text);
-    if (!id)
-        co_return bad_id(id_text, id.error());
-    auto const route = state_.router.find_route(*id, origin);
-    log_route(id_text, route);
-    if (route.kind == route_kind::unknown_home)
-        co_return unreachable(id_text);
-    if (route.kind == route_kind::forward)
+    auto const found = look_up(id, origin);
+    if (found.answered.answer)
+        co_return found.answered;
+    if (!found.running)
     {
-        wire::forward message;
-        message.__set_kind(wire::forward_kind::cancel);
-        message.__set_id(id_text);
-        co_return co_await forward(route.address, std::move(message),
+        auto message = make_call(wire::forward_kind::cancel, id);
+        co_return co_await forward(found.home, std::move(message),
                                    duration::zero());
     }
-    auto const decision = route.kind == route_kind::local
-                              ? state_.table.find(*id)
-                              : state_.inherited.find(*id);
-    if (decision.kind == decision_kind::answered)
-        co_return call_answer{id_text, decision.answer};
-    if (decision.kind == decision_kind::refused)
-        co_return refusal(id_text, decision);
-    auto const running = running_.at(decision.number);
-    runner_.cancel(*running, steady_clock::now());
-    co_return call_answer{id_text, running->answer};
+    runner_.cancel(*found.running, steady_clock::now());
+    co_return call_answer{id, found.running->answer};
 }
 
 asio::awaitable<void> submission_service::wait_for_end(job_ptr running)
@@ -327,18 +358,21 @@
 asio::awaitable<void> submission_service::wait_for_end(job_ptr running,
                                                        milliseconds limit)
 {
-    // Watches the event with a timer of its own: cancelling a wait on the
-    // event would wake everybody who waits for the job.
+    // Watches the event with a timer of its own: cancelling the event would
+    // wake everybody who waits for the job.
     auto const limit_timer =
         std::make_shared<asio::steady_timer>(executor_, limit);
     if (running->has_ended())
         co_return;
-    running->ended_event.async_wait(
-        [limit_timer](boost::system::error_code)
+    auto const give_up = std::make_shared<asio::cancellation_signal>();
+    running->ended_event.async_wait(asio::bind_cancellation_slot(
+        give_up->slot(),
+        [limit_timer, give_up](boost::system::error_code)
         {
             limit_timer->cancel();
-        });
+        }));
     co_await limit_timer->async_wait(as_values);
+    give_up->emit(asio::cancellation_type::terminal);
 }
 
 } // namespace masticshift::daemon
--- a/libs/daemon/src/submission_service.hpp
+++ b/libs/daemon/src/submission_service.hpp
@@ -25,6 +25,9 @@
     homes::answer_ptr answer;
 };
 
+/// The longest time that a caller may ask to wait for an answer.
+constexpr milliseconds longest_wait{60'000};
+
 /// Takes calls on submissions and answers them: from this entry's own table,
 /// from the table of a stopped process, or by asking the home of the id.
 class submission_service
@@ -48,6 +51,18 @@
     void keep_answer(job& ended);
 
 private:
+    /// What this entry knows of an id: an answer, a job that runs, or whom
+    /// to ask.
+    struct lookup
+    {
+        call_answer answered;
+        job_ptr running;
+        /// Peer address of the entry to ask.
+        std::string home;
+    };
+
+    lookup look_up(std::string const& id, homes::call_origin origin) const;
+    job_ptr find_running(homes::submission_number number) const;
     boost::asio::awaitable<call_answer> submit_local(submission what,
                                                      homes::submission_id id);
     job_ptr start(submission what, homes::submission_id const& id,
