End unanswered forwarded calls as unknown at a drain's limit

Cause: a drain waits for calls that another entry answers, but at its limit it closed their connections without an answer. The calls to peers are ended first now, so that their callers are told outcome_unknown, ran unknown.

Proof: 'a drain at its limit answers what it can't wait for as unknown' got an empty answer without the change and passes with it; 16 of 16 cases pass.

--- a/libs/daemon/src/entry.cpp
+++ b/libs/daemon/src/entry.cpp
@@ -291,6 +291,9 @@
         co_await graceful.run();
         caller_server_.close_gracefully();
         co_await finish_calls(limit);
+        // Ends the calls that no other entry has answered as unknown.
+        peer_client_.stop();
+        co_await finish_calls(limit);
         root_.stop();
         boost::json::object fields;
         fields["cut"] =
@@ -299,7 +302,6 @@
         caller_server_.stop();
         operator_server_.stop();
         peer_server_.stop();
-        peer_client_.stop();
         stopped_();
     }
 
--- a/tools/masticshiftd/tests/drain_test.cpp
+++ b/tools/masticshiftd/tests/drain_test.cpp
@@ -84,3 +84,30 @@
     CHECK(answer.value("code") == "0");
     CHECK(between.program.wait() == 0);
 }
+
+TEST_CASE("a drain at its limit answers what it can't wait for as unknown")
+{
+    constexpr int endless_run_ms = 15'000;
+    surroundings world;
+    world.configure();
+    entry home(world.folder, world.platform_port);
+    entry_options options;
+    options.peers = {home.peer};
+    options.more = "[drain]\nlimit_ms = 1000\n";
+    entry between(world.folder, world.platform_port, options);
+    wait_until_ready(home);
+    wait_until_ready(between);
+    auto const id = home.new_id("forwarded");
+    auto running = submit_in_background(between, job_body(id, endless_run_ms));
+    REQUIRE(eventually(
+        [&]
+        {
+            return runs_jobs(home, "1");
+        }));
+    between.program.signal(SIGTERM);
+    auto const answer = running.get();
+    INFO(answer.head, answer.body);
+    CHECK(answer.value("code") == "300");
+    CHECK(answer.value("ran") == "unknown");
+    CHECK(between.program.wait() == 0);
+}
--- a/tools/masticshiftd/tests/entry_process.hpp
+++ b/tools/masticshiftd/tests/entry_process.hpp
@@ -76,6 +76,7 @@
     {
         arguments.insert(arguments.begin(), MASTICSHIFT_BIN_DIR "/" + program);
         std::vector<char*> argv;
+        argv.reserve(arguments.size() + 1);
         for (auto& argument : arguments)
             argv.push_back(argument.data());
         argv.push_back(nullptr);
