--- a/libs/daemon/src/job_runner.cpp
+++ b/libs/daemon/src/job_runner.cpp
@@ -183,6 +183,7 @@
     auto const chosen = engine_.place(now);
     // Looked up before any starts: one that fails at once may end its job.
     std::vector<job_ptr> owners;
+    owners.reserve(chosen.size());
     for (auto const& assignment : chosen)
         owners.push_back(jobs_.at(assignment.task.job));
     for (std::size_t i = 0; i < chosen.size(); ++i)
--- a/libs/daemon/src/submission_service.cpp
+++ b/libs/daemon/src/submission_service.cpp
@@ -109,11 +109,11 @@
 }
 
 /// A call on an id other than its submission.
-wire::forward make_call(wire::forward_kind::type kind, std::string id)
+wire::forward make_call(wire::forward_kind::type kind, std::string const& id)
 {
     wire::forward message;
     message.__set_kind(kind);
-    message.__set_id(std::move(id));
+    message.__set_id(id);
     return message;
 }
 
--- a/libs/daemon/tests/submission_service_test.cpp
+++ b/libs/daemon/tests/submission_service_test.cpp
@@ -147,11 +147,11 @@
     peer_api api;
 };
 
-wire::forward make_fetch(std::string id, std::int32_t wait_ms)
+wire::forward make_fetch(std::string const& id, std::int32_t wait_ms)
 {
     wire::forward call;
     call.__set_kind(wire::forward_kind::fetch);
-    call.__set_id(std::move(id));
+    call.__set_id(id);
     call.__set_wait_ms(wait_ms);
     return call;
 }
