Strike the successor, hide the VM list, restart without a platform

New faults: the entry that takes over is killed or drained at the same time, an entry restarts while the platform is down and has to get its configuration from peers, and a leaving endpoint that one entry alone can read of. An isolated entry has to answer calls while it is cut off. Now another entry is the only reader, at every step alike.

--- a/tools/fault_matrix/src/fault.hpp
+++ b/tools/fault_matrix/src/fault.hpp
@@ -15,6 +15,9 @@
 {
     kill_entry,
     freeze_entry,
+    kill_successor,
+    drain_successor,
+    restart_without_platform,
     kill_endpoint,
     freeze_endpoint,
     cut_endpoint,
@@ -32,6 +35,7 @@
     stragglers,
     cancel_wave,
     endpoint_leaves,
+    endpoint_leaves_unseen,
     crossed_answers,
     close_after_write,
     silent_after_write
--- a/tools/fault_matrix/src/fault_injector.cpp
+++ b/tools/fault_matrix/src/fault_injector.cpp
@@ -7,6 +7,16 @@
 
 using test_support::link_state;
 
+namespace
+{
+
+/// The entry of the first one's data centre, which takes over from it.
+constexpr std::size_t successor = 2;
+
+constexpr milliseconds kill_patience{5'000};
+
+} // namespace
+
 fault_injector::fault_injector(test_support::cluster& system, call_load& load)
     : system_(system), load_(load)
 {
@@ -26,6 +36,18 @@
         system_.record_cut(0);
         entry.process.signal(SIGSTOP);
         break;
+    case fault::kill_successor:
+        system_.record_cut(successor);
+        system_.entries().at(successor).process.kill();
+        break;
+    case fault::drain_successor:
+        system_.entries().at(successor).process.signal(SIGTERM);
+        break;
+    case fault::restart_without_platform:
+        record_cut_of_all();
+        system_.control_platform(R"({"available": false})");
+        restart_killed_successor();
+        break;
     case fault::kill_endpoint:
         endpoint.process.kill();
         break;
@@ -81,6 +103,12 @@
     case fault::endpoint_leaves:
         system_.show_vms(true);
         break;
+    case fault::endpoint_leaves_unseen:
+        // One entry can read the list, and it is not the one that may stop.
+        entry.platform_link->set(link_state::cut);
+        system_.entries().at(successor).platform_link->set(link_state::cut);
+        system_.show_vms(true);
+        break;
     case fault::crossed_answers:
         system_.control_endpoint(0, R"({"cross_answers": 5})");
         break;
@@ -105,6 +133,14 @@
         entry.process.signal(SIGCONT);
         system_.record_healed(0);
         break;
+    case fault::kill_successor:
+        restart_successor();
+        system_.record_healed(successor);
+        break;
+    case fault::drain_successor:
+        require(system_.await_stop(system_.entries().at(successor)));
+        restart_successor();
+        break;
     case fault::freeze_endpoint:
         endpoint.process.signal(SIGCONT);
         break;
@@ -126,6 +162,7 @@
         system_.record_healed(0);
         break;
     case fault::platform_down:
+    case fault::restart_without_platform:
         system_.control_platform(R"({"available": true})");
         record_healed_of_all();
         break;
@@ -141,11 +178,38 @@
     case fault::endpoint_leaves:
         system_.show_vms(false);
         break;
+    case fault::endpoint_leaves_unseen:
+        set_platform_links(link_state::passing);
+        system_.show_vms(false);
+        break;
     default:
         break;
     }
 }
 
+void fault_injector::restart_killed_successor()
+{
+    system_.entries().at(successor).process.kill();
+    system_.entries().at(successor).process.wait(kill_patience);
+    restart_successor();
+}
+
+void fault_injector::restart_successor()
+{
+    require(system_.restart_entry(successor));
+}
+
+void fault_injector::require(outcome<void> const& done)
+{
+    if (!done)
+        failures_.push_back(done.error().detail);
+}
+
+std::vector<std::string> const& fault_injector::failures() const
+{
+    return failures_;
+}
+
 void fault_injector::await_operators()
 {
     for (auto& each : operators_)
--- a/tools/fault_matrix/src/fault_injector.hpp
+++ b/tools/fault_matrix/src/fault_injector.hpp
@@ -7,6 +7,7 @@
 #include <test_support/cluster.hpp>
 
 #include <future>
+#include <string>
 #include <vector>
 
 namespace masticshift::fault_matrix
@@ -21,13 +22,19 @@
 
     void strike(fault kind);
 
-    /// Ends a fault. What was killed stays down: see `restart_killed`.
+    /// Ends a fault. The first entry stays down when it was killed.
     void heal(fault kind);
 
     /// Waits for operators that are still at work.
     void await_operators();
 
+    /// What the system failed to do while faults were caused or ended.
+    std::vector<std::string> const& failures() const;
+
 private:
+    void restart_killed_successor();
+    void restart_successor();
+    void require(outcome<void> const& done);
     void start_operator();
     void set_peer_links(test_support::link_state state);
     void set_platform_links(test_support::link_state state);
@@ -37,6 +44,7 @@
     test_support::cluster& system_;
     call_load& load_;
     std::vector<std::future<platform::apply_answer>> operators_;
+    std::vector<std::string> failures_;
 };
 
 } // namespace masticshift::fault_matrix
--- a/tools/fault_matrix/src/row.cpp
+++ b/tools/fault_matrix/src/row.cpp
@@ -26,6 +26,32 @@
     return made;
 }
 
+bool restarts_successor(fault kind)
+{
+    return kind == fault::kill_successor || kind == fault::drain_successor ||
+           kind == fault::restart_without_platform;
+}
+
+bool cuts_peers(fault kind)
+{
+    return kind == fault::cut_peers || kind == fault::isolate_entry;
+}
+
+/// Whether two faults can strike at once: one process is restarted once, and
+/// an entry without platform and peers never gets ready.
+bool can_meet(fault one, fault other)
+{
+    if (one == other)
+        return false;
+    if (restarts_successor(one) && restarts_successor(other))
+        return false;
+    auto const is_lonely = [](fault restarted, fault cut)
+    {
+        return restarted == fault::restart_without_platform && cuts_peers(cut);
+    };
+    return !is_lonely(one, other) && !is_lonely(other, one);
+}
+
 // Each rule once at least.
 constexpr std::array short_names{
     std::pair{fault::kill_entry, step::resubmit},
@@ -63,14 +89,13 @@
 {
     std::mt19937 random(seed);
     std::vector<row> rows;
-    for (unsigned i = 0; i < count; ++i)
+    while (rows.size() < count)
     {
-        auto const first = random() % faults().size();
-        auto const offset = 1 + random() % (faults().size() - 1);
-        auto const second = (first + offset) % faults().size();
-        auto const at = random() % steps().size();
-        rows.push_back(make_row({faults()[first].kind, faults()[second].kind},
-                                steps()[at].kind));
+        auto const first = faults()[random() % faults().size()].kind;
+        auto const second = faults()[random() % faults().size()].kind;
+        auto const at = steps()[random() % steps().size()].kind;
+        if (can_meet(first, second))
+            rows.push_back(make_row({first, second}, at));
     }
     return rows;
 }
--- a/tools/fault_matrix/src/row_run.cpp
+++ b/tools/fault_matrix/src/row_run.cpp
@@ -24,6 +24,7 @@
 constexpr unsigned last_submissions = 30;
 constexpr milliseconds step_patience{10'000};
 constexpr milliseconds progress_patience{20'000};
+constexpr unsigned least_isolated_answers = 5;
 /// Longer than any caller's last submission takes.
 constexpr milliseconds finish_patience{60'000};
 /// After this the checker holds entries to a committed revision.
@@ -167,6 +168,8 @@
         reach_step();
         strike_and_heal(injector);
         injector.await_operators();
+        for (auto const& reason : injector.failures())
+            fail(reason);
         restart_entry();
         if (!load.wait_for(last_submissions, progress_patience))
             fail("no progress after the fault");
@@ -253,11 +256,43 @@
         endpoint_naming const rename(system_.endpoint_names());
         for (auto& each : read->records)
             std::visit(rename, each.content);
+        bool const serves = what_.faults == std::vector{fault::isolate_entry} &&
+                            !needs_drain(what_.at);
+        if (serves)
+            check_isolated_service(*read);
         auto const reports = history::check(*read, options_for(what_));
         add_findings(reports, result_);
         result_.examined = reports.at(index_of(what_.guards)).examined;
     }
 
+    /// An entry that is cut off from the others and from the platform goes on
+    /// serving its callers.
+    void check_isolated_service(history::recorded_history const& read)
+    {
+        std::int64_t cut_us = 0;
+        std::int64_t healed_us = 0;
+        for (auto const& each : read.records)
+        {
+            if (std::holds_alternative<history::entry_cut>(each.content))
+                cut_us = each.us;
+            if (std::holds_alternative<history::entry_healed>(each.content))
+                healed_us = each.us;
+        }
+        auto const answered = std::ranges::count_if(
+            read.records,
+            [&](history::record const& each)
+            {
+                auto const* const job =
+                    std::get_if<history::job_answered>(&each.content);
+                return job && job->code == result_code::ok &&
+                       each.source == system_.entries().front().name &&
+                       each.us > cut_us && each.us < healed_us;
+            });
+        if (answered < least_isolated_answers)
+            fail("the isolated entry answered " + std::to_string(answered) +
+                 " calls");
+    }
+
     void keep_histories()
     {
         system_.folder().keep();
