Freeze the successor, cut peers one way, mend findings of the linter

Two more faults: the entry that takes over is frozen, and peers reach the first entry no more while it reaches them. Pairs that strike the successor twice are not drawn.

--- a/libs/test_support/include/test_support/relay.hpp
+++ b/libs/test_support/include/test_support/relay.hpp
@@ -28,7 +28,7 @@
 class relay
 {
 public:
-    relay(network_thread& network, config::socket_address target);
+    relay(network_thread& network, config::socket_address const& target);
     ~relay();
 
     relay(relay const&) = delete;
--- a/libs/test_support/src/child_process.cpp
+++ b/libs/test_support/src/child_process.cpp
@@ -107,6 +107,7 @@
     if (pipe2(ends, O_CLOEXEC) != 0)
         return process_failure("pipe", errno);
     std::vector<char*> pointers;
+    pointers.reserve(arguments.size() + 1);
     for (auto& argument : arguments)
         pointers.push_back(argument.data());
     pointers.push_back(nullptr);
--- a/libs/test_support/src/cluster.cpp
+++ b/libs/test_support/src/cluster.cpp
@@ -223,7 +223,7 @@
     platform::configuration_change change;
     change.change_id = "change-" + std::to_string(number);
     change.text = "# " + change.change_id + "\n" + service_text();
-    auto const answer = client_.apply(platform_address_, change);
+    auto answer = client_.apply(platform_address_, change);
     records_.write("operator", history::applied{answer.revision,
                                                 change.change_id, answer.code});
     return answer;
--- a/libs/test_support/src/relay.cpp
+++ b/libs/test_support/src/relay.cpp
@@ -52,7 +52,7 @@
 class relay::impl : public std::enable_shared_from_this<relay::impl>
 {
 public:
-    impl(asio::any_io_executor executor, config::socket_address target)
+    impl(asio::any_io_executor executor, config::socket_address const& target)
         : executor_(std::move(executor)),
           target_(to_endpoint(target)),
           acceptor_(executor_)
@@ -202,9 +202,9 @@
     bool delays_ = false;
 };
 
-relay::relay(network_thread& network, config::socket_address target)
+relay::relay(network_thread& network, config::socket_address const& target)
     : network_(network),
-      impl_(std::make_shared<impl>(network.executor(), std::move(target)))
+      impl_(std::make_shared<impl>(network.executor(), target))
 {
     set(link_state::passing);
 }
--- a/tools/fault_matrix/src/call_load.cpp
+++ b/tools/fault_matrix/src/call_load.cpp
@@ -48,7 +48,7 @@
 class call_load::impl
 {
 public:
-    impl(load_options options, test_support::history_writer& records)
+    impl(load_options const& options, test_support::history_writer& records)
         : state{options.entries,
                 options.most_submissions,
                 records,
@@ -64,9 +64,9 @@
     std::vector<std::unique_ptr<caller>> callers;
 };
 
-call_load::call_load(load_options options,
+call_load::call_load(load_options const& options,
                      test_support::history_writer& records)
-    : impl_(std::make_unique<impl>(std::move(options), records))
+    : impl_(std::make_unique<impl>(options, records))
 {
 }
 
--- a/tools/fault_matrix/src/call_load.hpp
+++ b/tools/fault_matrix/src/call_load.hpp
@@ -26,7 +26,8 @@
 class call_load
 {
 public:
-    call_load(load_options options, test_support::history_writer& records);
+    call_load(load_options const& options,
+              test_support::history_writer& records);
     ~call_load();
 
     call_load(call_load const&) = delete;
--- a/tools/fault_matrix/src/fault_injector.cpp
+++ b/tools/fault_matrix/src/fault_injector.cpp
@@ -40,6 +40,10 @@
         system_.record_cut(successor);
         system_.entries().at(successor).process.kill();
         break;
+    case fault::freeze_successor:
+        system_.record_cut(successor);
+        system_.entries().at(successor).process.signal(SIGSTOP);
+        break;
     case fault::drain_successor:
         system_.entries().at(successor).process.signal(SIGTERM);
         break;
@@ -60,6 +64,10 @@
     case fault::cut_peers:
         set_peer_links(link_state::cut);
         break;
+    case fault::cut_peers_one_way:
+        // Peers reach this entry no more, while it reaches them.
+        entry.peer_link->set(link_state::cut);
+        break;
     case fault::cut_platform:
         entry.platform_link->set(link_state::cut);
         break;
@@ -137,6 +145,10 @@
         restart_successor();
         system_.record_healed(successor);
         break;
+    case fault::freeze_successor:
+        system_.entries().at(successor).process.signal(SIGCONT);
+        system_.record_healed(successor);
+        break;
     case fault::drain_successor:
         require(system_.await_stop(system_.entries().at(successor)));
         restart_successor();
@@ -149,6 +161,7 @@
         endpoint.link->set(link_state::passing);
         break;
     case fault::cut_peers:
+    case fault::cut_peers_one_way:
     case fault::silent_peers:
         set_peer_links(link_state::passing);
         break;
--- a/tools/fault_matrix/src/row.cpp
+++ b/tools/fault_matrix/src/row.cpp
@@ -26,9 +26,10 @@
     return made;
 }
 
-bool restarts_successor(fault kind)
+bool strikes_successor(fault kind)
 {
-    return kind == fault::kill_successor || kind == fault::drain_successor ||
+    return kind == fault::kill_successor || kind == fault::freeze_successor ||
+           kind == fault::drain_successor ||
            kind == fault::restart_without_platform;
 }
 
@@ -37,13 +38,13 @@
     return kind == fault::cut_peers || kind == fault::isolate_entry;
 }
 
-/// Whether two faults can strike at once: one process is restarted once, and
+/// Whether two faults can strike at once: one process is struck once, and
 /// an entry without platform and peers never gets ready.
 bool can_meet(fault one, fault other)
 {
     if (one == other)
         return false;
-    if (restarts_successor(one) && restarts_successor(other))
+    if (strikes_successor(one) && strikes_successor(other))
         return false;
     auto const is_lonely = [](fault restarted, fault cut)
     {
