--- a/libs/daemon/src/entry.cpp
+++ b/libs/daemon/src/entry.cpp
@@ -90,7 +90,8 @@
 class entry::impl
 {
 public:
-    impl(asio::any_io_executor executor, config::daemon_settings settings)
+    impl(asio::any_io_executor const& executor,
+         config::daemon_settings settings)
         : executor_(executor),
           state_(std::move(settings)),
           endpoint_client_(executor,
