Hold ports so that the kernel gives none of them out twice

Cause: a full run of the matrix ended after 256 passed rows with 'bind: Address already in use'. A port that is bound with SO_REUSEADDR can be chosen for another socket with that option, so that two reservations could be the same. The option is now set after the bind. The exception also ended the program on its network thread and left its processes behind; it now reaches the row, which fails and ends them.

--- a/libs/test_support/include/test_support/network_thread.hpp
+++ b/libs/test_support/include/test_support/network_thread.hpp
@@ -22,8 +22,8 @@
 
     boost::asio::any_io_executor executor();
 
-    /// Runs the work on the thread and waits for its end. Not to be called on
-    /// the thread itself.
+    /// Runs the work on the thread, waits for its end and throws what it threw.
+    /// Not to be called on the thread itself.
     void run(std::function<void()> work);
 
     /// Ends the thread. What waits on it never goes on.
--- a/libs/test_support/src/network_thread.cpp
+++ b/libs/test_support/src/network_thread.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 
+#include <exception>
 #include <future>
 #include <thread>
 
@@ -52,10 +53,17 @@
     asio::post(impl_->context,
                [&]
                {
-                   work();
-                   done.set_value();
+                   try
+                   {
+                       work();
+                       done.set_value();
+                   }
+                   catch (...)
+                   {
+                       done.set_exception(std::current_exception());
+                   }
                });
-    done.get_future().wait();
+    done.get_future().get();
 }
 
 void network_thread::stop()
--- a/libs/test_support/src/reserved_port.cpp
+++ b/libs/test_support/src/reserved_port.cpp
@@ -30,9 +30,10 @@
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     auto* const any = reinterpret_cast<sockaddr*>(&address);
     socklen_t length = sizeof address;
-    if (socket_ < 0 ||
+    // The option is set after the bind: with it the kernel gives out ports that
+    // others hold in the same way.
+    if (socket_ < 0 || bind(socket_, any, length) != 0 ||
         setsockopt(socket_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) != 0 ||
-        bind(socket_, any, length) != 0 ||
         getsockname(socket_, any, &length) != 0)
         fail();
     port_ = ntohs(address.sin_port);
--- a/tools/fault_matrix/src/row.cpp
+++ b/tools/fault_matrix/src/row.cpp
@@ -81,6 +81,7 @@
 std::vector<row> short_rows()
 {
     std::vector<row> rows;
+    rows.reserve(short_names.size());
     for (auto const& [kind, at] : short_names)
         rows.push_back(make_row({kind}, at));
     return rows;
@@ -90,6 +91,7 @@
 {
     std::mt19937 random(seed);
     std::vector<row> rows;
+    rows.reserve(count);
     while (rows.size() < count)
     {
         auto const first = faults()[random() % faults().size()].kind;
--- a/tools/fault_matrix/src/row_run.cpp
+++ b/tools/fault_matrix/src/row_run.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <exception>
 #include <future>
 #include <thread>
 
@@ -310,7 +311,17 @@
 
 verdict run_row(row const& what, run_options const& options)
 {
-    return row_run(what, options).run();
+    try
+    {
+        return row_run(what, options).run();
+    }
+    catch (std::exception const& error)
+    {
+        // Its processes have ended with it.
+        verdict result;
+        result.reasons.push_back(error.what());
+        return result;
+    }
 }
 
 } // namespace masticshift::fault_matrix
