--- a/libs/daemon/include/daemon/entry.hpp
+++ b/libs/daemon/include/daemon/entry.hpp
@@ -19,7 +19,7 @@
 class entry
 {
 public:
-    entry(boost::asio::any_io_executor executor,
+    entry(boost::asio::any_io_executor const& executor,
           config::daemon_settings settings);
     ~entry();
 
--- a/libs/daemon/src/entry.cpp
+++ b/libs/daemon/src/entry.cpp
@@ -328,8 +328,9 @@
     peer_link::peer_server peer_server_;
 };
 
-entry::entry(asio::any_io_executor executor, config::daemon_settings settings)
-    : impl_(std::make_unique<impl>(std::move(executor), std::move(settings)))
+entry::entry(asio::any_io_executor const& executor,
+             config::daemon_settings settings)
+    : impl_(std::make_unique<impl>(executor, std::move(settings)))
 {
 }
 
