--- a/tools/fault_matrix/src/fault.hpp
+++ b/tools/fault_matrix/src/fault.hpp
@@ -15,10 +15,15 @@
 {
     kill_entry,
     freeze_entry,
+    kill_successor,
+    freeze_successor,
+    drain_successor,
+    restart_without_platform,
     kill_endpoint,
     freeze_endpoint,
     cut_endpoint,
     cut_peers,
+    cut_peers_one_way,
     cut_platform,
     isolate_entry,
     silent_endpoint,
@@ -32,6 +37,7 @@
     stragglers,
     cancel_wave,
     endpoint_leaves,
+    endpoint_leaves_unseen,
     crossed_answers,
     close_after_write,
     silent_after_write
--- a/tools/fault_matrix/src/row.cpp
+++ b/tools/fault_matrix/src/row.cpp
@@ -26,6 +26,33 @@
     return made;
 }
 
+bool strikes_successor(fault kind)
+{
+    return kind == fault::kill_successor || kind == fault::freeze_successor ||
+           kind == fault::drain_successor ||
+           kind == fault::restart_without_platform;
+}
+
+bool cuts_peers(fault kind)
+{
+    return kind == fault::cut_peers || kind == fault::isolate_entry;
+}
+
+/// Whether two faults can strike at once: one process is struck once, and
+/// an entry without platform and peers never gets ready.
+bool can_meet(fault one, fault other)
+{
+    if (one == other)
+        return false;
+    if (strikes_successor(one) && strikes_successor(other))
+        return false;
+    auto const is_lonely = [](fault restarted, fault cut)
+    {
+        return restarted == fault::restart_without_platform && cuts_peers(cut);
+    };
+    return !is_lonely(one, other) && !is_lonely(other, one);
+}
+
 // Each rule once at least.
 constexpr std::array short_names{
     std::pair{fault::kill_entry, step::resubmit},
@@ -54,6 +81,7 @@
 std::vector<row> short_rows()
 {
     std::vector<row> rows;
+    rows.reserve(short_names.size());
     for (auto const& [kind, at] : short_names)
         rows.push_back(make_row({kind}, at));
     return rows;
@@ -63,14 +91,14 @@
 {
     std::mt19937 random(seed);
     std::vector<row> rows;
-    for (unsigned i = 0; i < count; ++i)
+    rows.reserve(count);
+    while (rows.size() < count)
     {
-        auto const first = random() % faults().size();
-        auto const offset = 1 + random() % (faults().size() - 1);
-        auto const second = (first + offset) % faults().size();
-        auto const at = random() % steps().size();
-        rows.push_back(make_row({faults()[first].kind, faults()[second].kind},
-                                steps()[at].kind));
+        auto const first = faults()[random() % faults().size()].kind;
+        auto const second = faults()[random() % faults().size()].kind;
+        auto const at = steps()[random() % steps().size()].kind;
+        if (can_meet(first, second))
+            rows.push_back(make_row({first, second}, at));
     }
     return rows;
 }
