--- a/libs/daemon/tests/submission_service_test.cpp
+++ b/libs/daemon/tests/submission_service_test.cpp
@@ -33,7 +33,7 @@
 {
     service_fixture()
         : endpoint(context.get_executor(),
-                   [this](http_request)
+                   [this](http_request const&)
                    {
                        return endpoint.stay_silent();
                    }),
