Install the libraries as a CMake package and build a sample with it

Cause: others are to embed homes and placement; only the source tree could be used. The warning flags of this project are not passed on to its users.

Ruled out: one package for each library; masticshiftConfig.cmake asks for the dependencies of all, Thrift's among them.

--- a/cmake/masticshift_project.cmake
+++ b/cmake/masticshift_project.cmake
@@ -21,11 +21,20 @@
 
 enable_testing()
 
+include(GNUInstallDirs)
+set(MASTICSHIFT_INCLUDE_DIR "${CMAKE_INSTALL_INCLUDEDIR}/masticshift")
+
+# What the libraries ask of their users is installed; how this project itself
+# is compiled is not.
 add_library(masticshift_flags INTERFACE)
-target_compile_options(masticshift_flags INTERFACE
+set(masticshift_own_options
     -Wall -Wextra -Wpedantic -Wno-missing-field-initializers
     -Wno-mismatched-new-delete
     $<$<CONFIG:Release>:-O2>)
+target_compile_options(masticshift_flags INTERFACE
+    "$<BUILD_INTERFACE:${masticshift_own_options}>")
+target_compile_features(masticshift_flags INTERFACE
+    $<INSTALL_INTERFACE:cxx_std_20>)
 target_compile_definitions(masticshift_flags INTERFACE
     BOOST_ASIO_NO_DEPRECATED
     ELPP_NO_DEFAULT_LOG_FILE)
@@ -42,14 +51,31 @@
     add_library(masticshift_${name} STATIC ${sources})
     add_library(masticshift::${name} ALIAS masticshift_${name})
     target_include_directories(masticshift_${name}
-        PUBLIC "${CMAKE_CURRENT_SOURCE_DIR}/include"
+        PUBLIC "$<BUILD_INTERFACE:${CMAKE_CURRENT_SOURCE_DIR}/include>"
+            "$<INSTALL_INTERFACE:${MASTICSHIFT_INCLUDE_DIR}>"
         PRIVATE "${CMAKE_CURRENT_SOURCE_DIR}/src")
     target_link_libraries(masticshift_${name}
         PUBLIC masticshift_flags ${ARG_DEPENDS}
         PRIVATE ${ARG_PRIVATE_DEPENDS})
+    masticshift_install_library(${name})
     masticshift_tests(${name})
 endfunction()
 
+# Installs a library as masticshift::NAME, with its headers. The package is
+# exported by masticshift_install.cmake.
+function(masticshift_install_library name)
+    set_target_properties(masticshift_${name} PROPERTIES EXPORT_NAME ${name})
+    install(TARGETS masticshift_${name} EXPORT masticshift_targets
+        ARCHIVE DESTINATION "${CMAKE_INSTALL_LIBDIR}")
+    foreach(folder IN ITEMS include generated/include)
+        if(IS_DIRECTORY "${CMAKE_CURRENT_SOURCE_DIR}/${folder}")
+            install(DIRECTORY "${folder}/"
+                DESTINATION "${MASTICSHIFT_INCLUDE_DIR}"
+                FILES_MATCHING PATTERN "*.hpp" PATTERN "*.h")
+        endif()
+    endforeach()
+endfunction()
+
 # masticshift_tests(NAME lib...)
 # Builds tests/*_test.cpp of the current folder into one doctest program and
 # registers it with ctest under the name NAME_test.
--- /dev/null
+++ b/tools/capacity/src/load.cpp
@@ -0,0 +1,98 @@
+// Sends jobs to one entry at a fixed rate, whatever the answers take.
+
+#include <config/daemon_settings.hpp>
+#include <transport/http_client.hpp>
+
+#include <boost/asio.hpp>
+#include <gflags/gflags.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <string>
+
+DEFINE_string(entry, "", "caller address of the entry, IP:PORT");
+DEFINE_string(service, "orderdesk", "service of the jobs");
+DEFINE_uint32(rate, 20, "jobs a second");
+DEFINE_uint32(tasks, 10, "tasks of a job");
+DEFINE_uint32(seconds, 5, "how long jobs are sent");
+
+namespace
+{
+
+namespace asio = boost::asio;
+using namespace masticshift;
+
+constexpr std::chrono::seconds call_timeout{10};
+
+struct totals
+{
+    unsigned sent = 0;
+    unsigned complete = 0;
+    std::size_t answer_bytes = 0;
+};
+
+std::string make_body()
+{
+    std::string body = "{\"service\":\"" + FLAGS_service + "\",\"tasks\":[";
+    for (unsigned i = 0; i < FLAGS_tasks; ++i)
+    {
+        body += i == 0 ? "" : ",";
+        body += R"({"input":{"sku":"chalk-12"}})";
+    }
+    return body + "]}";
+}
+
+asio::awaitable<void> submit(transport::http_client& client,
+                             config::socket_address entry, std::string body,
+                             totals& all)
+{
+    transport::http_request request;
+    request.method = "POST";
+    request.target = "/v1/jobs";
+    request.fields.set("Content-Type", "application/json");
+    request.body = std::move(body);
+    ++all.sent;
+    auto const answer =
+        co_await client.call(entry.ip, entry.port, std::move(request),
+                             steady_clock::now() + call_timeout);
+    if (!answer || answer->status != 200)
+        co_return;
+    ++all.complete;
+    all.answer_bytes += answer->body.size();
+}
+
+asio::awaitable<void> send_all(transport::http_client& client,
+                               config::socket_address entry, totals& all)
+{
+    auto const body = make_body();
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    auto next = steady_clock::now();
+    auto const pause = duration(std::chrono::seconds(1)) / FLAGS_rate;
+    for (unsigned i = 0; i < FLAGS_rate * FLAGS_seconds; ++i)
+    {
+        asio::co_spawn(timer.get_executor(), submit(client, entry, body, all),
+                       asio::detached);
+        next += pause;
+        timer.expires_at(next);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    auto const entry = config::parse_socket_address(FLAGS_entry);
+    if (!entry)
+        return EXIT_FAILURE;
+    asio::io_context context(1);
+    transport::http_client client(context.get_executor(), {});
+    totals all;
+    asio::co_spawn(context, send_all(client, *entry, all), asio::detached);
+    context.run();
+    std::printf("{\"sent\":%u,\"complete\":%u,\"body_bytes\":%zu,"
+                "\"answer_bytes\":%zu}\n",
+                all.sent, all.complete, make_body().size(), all.answer_bytes);
+    return all.complete == all.sent ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/tools/capacity/src/ports.cpp
@@ -0,0 +1,36 @@
+// Prints free TCP ports of loopback, one a line.
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <gflags/gflags.h>
+
+#include <cstdio>
+#include <vector>
+
+DEFINE_uint32(count, 1, "number of ports");
+
+namespace
+{
+
+using boost::asio::ip::tcp;
+
+// All are held until all were given, so that no port is printed twice.
+void print_free_ports(unsigned count)
+{
+    boost::asio::io_context context;
+    std::vector<tcp::acceptor> held;
+    for (unsigned i = 0; i < count; ++i)
+    {
+        held.emplace_back(
+            context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+        std::printf("%u\n", unsigned(held.back().local_endpoint().port()));
+    }
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    print_free_ports(FLAGS_count);
+}
