Measure the slopes of ids, endpoints, heartbeats, revisions and tasks

Entries are bound to 127.0.0.2: a start of 56 on 127.0.0.1 failed with bind_failed, since calls of the entries that ran already had taken a port that was free when it was asked for. Processor time of processes is read from schedstat, for ticks of 10 ms were too coarse for 200 jobs.

--- a/tools/capacity/run.sh
+++ b/tools/capacity/run.sh
@@ -6,10 +6,12 @@
 
 readonly bin="$(cd "${1:?usage: run.sh BIN_DIR}" && pwd)"
 readonly entry_counts="${MASTICSHIFT_CAPACITY_ENTRIES:-8 32 96}"
+# Calls leave from 127.0.0.1, so that none takes a port of an entry.
+readonly entry_ip=127.0.0.2
 readonly settle_s=8
 readonly sample_s=10
 readonly load_s=5
-readonly ticks_per_s="$(getconf CLK_TCK)"
+readonly change_s=4
 
 work="$(mktemp -d)"
 pids=()
@@ -18,6 +20,7 @@
 caller_ports=()
 
 stop_all() {
+    rm -f "$work"/log.*
     if ((${#pids[@]})); then
         kill -KILL "${pids[@]}" 2>/dev/null || true
         wait "${pids[@]}" 2>/dev/null || true
@@ -75,6 +78,17 @@
     }' centres="$1" services="$2"
 }
 
+# Has the platform list the endpoints named on standard input as live.
+list_vms() {
+    awk '{ printf "%s{\"address\":\"%s\",\"data_centre\":\"dc%d\"," \
+            "\"role\":\"endpoint\",\"state\":\"live\"}",
+            NR > 1 ? "," : "{\"vms\":[", $1, NR % 7 }
+        END { print "]}" }' |
+        curl -s --max-time 5 --data-binary @- "http://$platform/control" \
+            >"$work/control"
+    curl -s --max-time 5 "http://$platform/v1/vms" | wc -c >"$work/vms_bytes"
+}
+
 apply_text() {
     "$bin/masticshift" apply --platform="$platform" "$work/text.toml" \
         >"$work/apply" 2>&1 || { cat "$work/apply" >&2; return 1; }
@@ -85,9 +99,9 @@
     cat <<TEXT
 [entry]
 data_centre = "dc$(($1 % $2))"
-caller_address = "127.0.0.1:$3"
-peer_address = "127.0.0.1:$4"
-operator_address = "127.0.0.1:$5"
+caller_address = "$entry_ip:$3"
+peer_address = "$entry_ip:$4"
+operator_address = "$entry_ip:$5"
 [platform]
 address = "$platform"
 [peers]
@@ -100,9 +114,9 @@
 start_entries() {
     local count="$1" centres="$2" i peers=""
     local -a ports
-    mapfile -t ports < <("$bin/capacity_ports" --count=$((3 * count)))
+    mapfile -t ports < <("$bin/capacity_ports" --ip="$entry_ip" --count=$((3 * count)))
     for ((i = 0; i < count; ++i)); do
-        peers+="\"127.0.0.1:${ports[3 * i + 1]}\","
+        peers+="\"$entry_ip:${ports[3 * i + 1]}\","
     done
     for ((i = 0; i < count; ++i)); do
         print_settings "$i" "$centres" "${ports[@]:3 * i:3}" "$peers" \
@@ -119,13 +133,14 @@
 }
 
 metrics() {
-    curl -s --max-time 5 "http://127.0.0.1:$1/metrics"
+    curl -s --max-time 5 "http://$entry_ip:$1/metrics"
 }
 
-# Processor time of a process so far, in microseconds.
+# Processor time of a process so far, in microseconds. The scheduler counts
+# nanoseconds, /proc/PID/stat only ticks.
 processor_us() {
-    awk -v ticks="$ticks_per_s" '{ sub(/.*\) /, "")
-        printf "%d\n", ($12 + $13) * 1000000 / ticks }' "/proc/$1/stat"
+    awk '{ sum += $1 } END { printf "%d\n", sum / 1000 }' \
+        /proc/"$1"/task/*/schedstat
 }
 
 resident_kb() {
@@ -150,15 +165,18 @@
 measure_idle() {
     local count="$1"
     start_platform
-    seq 790 | awk '{ printf "10.1.%d.%d:9101\n", $1 / 200, 10 + $1 % 200 }' |
-        print_text 7 5 >"$work/text.toml"
+    seq 790 | awk '{ printf "10.1.%d.%d:9101\n", $1 / 200, 10 + $1 % 200 }' \
+        >"$work/endpoint_list"
+    print_text 7 5 <"$work/endpoint_list" >"$work/text.toml"
+    list_vms <"$work/endpoint_list"
     apply_text
     start_entries "$count" 7
     sleep "$settle_s"
     sample_entries >"$work/before"
     sleep "$sample_s"
     sample_entries >"$work/after"
-    paste "$work/before" "$work/after" | awk -v count="$count" '
+    paste "$work/before" "$work/after" | awk -v count="$count" \
+        -v list="$(cat "$work/vms_bytes")" -v text="$(wc -c <"$work/text.toml")" '
         { s = $6 - $1
           bytes = ($7 - $2) / s; calls = ($8 - $3) / s
           cpu = ($9 - $4) / s / 10000; kb = $10
@@ -173,12 +191,31 @@
                 "\"bytes_per_s\":%.0f,\"max_bytes_per_s\":%.0f," \
                 "\"core_percent\":%.2f,\"max_core_percent\":%.2f," \
                 "\"resident_mb\":%.1f,\"max_resident_mb\":%.1f," \
-                "\"platform_calls_per_s\":%.2f}\n",
+                "\"platform_calls_per_s\":%.2f,\"vm_list_bytes\":%d," \
+                "\"text_bytes\":%d}\n",
                 count, sum_bytes / NR, max_bytes, sum_cpu / NR, max_cpu,
-                sum_kb / NR / 1024, max_kb / 1024, sum_calls / NR }'
+                sum_kb / NR / 1024, max_kb / 1024, sum_calls / NR,
+                list, text }'
+    measure_change "$count"
     stop_all
 }
 
+# Applies a second revision and reads from the logs when entries have it.
+measure_change() {
+    local count="$1" applied_us
+    sed -i 's/run_time_ms = 5$/run_time_ms = 6/' "$work/text.toml"
+    apply_text
+    applied_us="${EPOCHREALTIME/[.,]/}"
+    sleep "$change_s"
+    cat "$work"/log.* | grep -F '"configuration_in_force"' |
+        grep -F '"revision":2' | sed 's/.*"us":\([0-9]*\).*/\1/' |
+        awk -v count="$count" -v applied="$applied_us" '
+        { if ($1 > last) last = $1 }
+        END { printf "{\"quantity\":\"revision in force\"," \
+            "\"entries\":%d,\"have_it\":%d,\"last_after_ms\":%d}\n",
+            count, NR, (last - applied) / 1000 }'
+}
+
 sum_messages() {
     awk '/^masticshift_messages_total/ && /task_|caller_/ { sum += $2 }
         END { print sum + 0 }' <<<"$1"
@@ -190,7 +227,7 @@
     log_before="$(stat -c %s "$work/log.0")"
     before="$(sum_messages "$(metrics "${operator_ports[0]}")")"
     us_before="$(processor_us "${entry_pids[0]}")"
-    "$bin/capacity_load" --entry="127.0.0.1:${caller_ports[0]}" \
+    "$bin/capacity_load" --entry="$entry_ip:${caller_ports[0]}" \
         --rate="$rate" --tasks="$tasks" --seconds="$load_s" >"$work/load" ||
         cat "$work/load" >&2
     us_after="$(processor_us "${entry_pids[0]}")"
--- a/tools/capacity/src/load.cpp
+++ b/tools/capacity/src/load.cpp
@@ -56,7 +56,12 @@
         co_await client.call(entry.ip, entry.port, std::move(request),
                              steady_clock::now() + call_timeout);
     if (!answer || answer->status != 200)
+    {
+        std::fprintf(stderr, "not complete: %s\n",
+                     answer ? answer->body.c_str()
+                            : answer.error().error.detail.c_str());
         co_return;
+    }
     ++all.complete;
     all.answer_bytes += answer->body.size();
 }
--- a/tools/capacity/src/ports.cpp
+++ b/tools/capacity/src/ports.cpp
@@ -1,4 +1,6 @@
-// Prints free TCP ports of loopback, one a line.
+// Prints free TCP ports of an address, one a line. Calls to other loopback
+// addresses leave from 127.0.0.1, so that they take none of these ports before
+// a server binds them.
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -7,6 +9,7 @@
 #include <cstdio>
 #include <vector>
 
+DEFINE_string(ip, "127.0.0.2", "address whose ports are printed");
 DEFINE_uint32(count, 1, "number of ports");
 
 namespace
@@ -22,7 +25,7 @@
     for (unsigned i = 0; i < count; ++i)
     {
         held.emplace_back(
-            context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+            context, tcp::endpoint(boost::asio::ip::make_address(FLAGS_ip), 0));
         std::printf("%u\n", unsigned(held.back().local_endpoint().port()));
     }
 }
