--- a/tools/capacity/run.sh
+++ b/tools/capacity/run.sh
@@ -82,7 +82,7 @@
 list_vms() {
     awk '{ printf "%s{\"address\":\"%s\",\"data_centre\":\"dc%d\"," \
             "\"role\":\"endpoint\",\"state\":\"live\"}",
-            NR > 1 ? "," : "{\"vms\":[", $1, NR % 7 }
+            (NR > 1 ? "," : "{\"vms\":["), $1, NR % 7 }
         END { print "]}" }' |
         curl -s --max-time 5 --data-binary @- "http://$platform/control" \
             >"$work/control"
