--- a/tools/fault_matrix/src/row_run.cpp
+++ b/tools/fault_matrix/src/row_run.cpp
@@ -116,6 +116,22 @@
     std::map<std::string, std::string> names_;
 };
 
+/// Entries that two faults together cut from the platform and from all peers.
+std::vector<std::size_t> lonely_entries(row const& what)
+{
+    auto const has = [&](fault kind)
+    {
+        return std::ranges::find(what.faults, kind) != what.faults.end();
+    };
+    if (!has(fault::cut_peers) && !has(fault::isolate_entry))
+        return {};
+    if (has(fault::endpoint_leaves_unseen))
+        return {0, 2};
+    if (has(fault::cut_platform))
+        return {0};
+    return {};
+}
+
 class row_run
 {
 public:
@@ -220,9 +236,14 @@
             injector.strike(kind);
             length = std::max(length, info_of(kind).length);
         }
+        auto const lonely = lonely_entries(what_);
+        for (auto const index : lonely)
+            system_.record_cut(index);
         std::this_thread::sleep_for(length);
         for (auto const kind : what_.faults)
             injector.heal(kind);
+        for (auto const index : lonely)
+            system_.record_healed(index);
         if (applying_.valid())
             applying_.wait();
     }
