Fit the default limits into 128 MB and bound two loose ends of a stop

A stop told its peers one by one, so silent peers could exceed the drain limit; now all at once, bounded by one call's time. A negative revision from a peer would have stayed in force for ever; it is refused. Ruled out: a limit of its own for inherited tables, since a full table could then not be handed over.

--- a/libs/config/include/config/daemon_settings.hpp
+++ b/libs/config/include/config/daemon_settings.hpp
@@ -74,10 +74,11 @@
     milliseconds generation{120'000};
     /// Time that an answer is kept at least, unless memory runs short.
     milliseconds retention{600'000};
-    std::size_t max_ids = 400'000;
-    std::size_t max_answer_bytes = 48 << 20;
-    /// Key of the MAC in home tokens. No MAC when empty. The same at all
-    /// entries.
+    /// Both limits hold once more for tables of stopped entries.
+    std::size_t max_ids = 100'000;
+    std::size_t max_answer_bytes = 24 << 20;
+    /// Key of the MAC in home tokens. No MAC when empty. Each entry checks the
+    /// tokens that it has issued itself.
     std::string key;
 };
 
--- a/libs/daemon/src/configuration_fetcher.cpp
+++ b/libs/daemon/src/configuration_fetcher.cpp
@@ -20,6 +20,12 @@
     return source.is_platform() ? "platform" : source.peer;
 }
 
+/// A negative number would become a revision that none can ever exceed.
+failure bad_revision()
+{
+    return {result_code::peer_protocol, "a negative revision"};
+}
+
 } // namespace
 
 configuration_fetcher::configuration_fetcher(
@@ -91,6 +97,8 @@
     if (!result)
         co_return result.error().error;
     auto& answer = result->fetch_text_answer;
+    if (answer.revision < 0)
+        co_return bad_revision();
     fetched_text fetched;
     fetched.revision = static_cast<std::uint64_t>(answer.revision);
     fetched.text = std::move(answer.text);
--- a/libs/daemon/src/peer_watch.cpp
+++ b/libs/daemon/src/peer_watch.cpp
@@ -6,6 +6,7 @@
 #include <peer_link/heartbeat_conversion.hpp>
 #include <peer_link/message_kind.hpp>
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -23,6 +24,8 @@
 namespace asio = boost::asio;
 using membership::heard_result;
 
+constexpr auto as_values = asio::as_tuple(asio::use_awaitable);
+
 void log_peer(heard_result result, membership::process_id const& peer)
 {
     if (result == heard_result::known || result == heard_result::stale)
@@ -292,11 +295,20 @@
 asio::awaitable<void> peer_watch::tell_all(time_point now)
 {
     auto const message = peer_link::to_wire(make_heartbeat(now));
-    std::vector<std::string> peers;
-    for (auto const* peer : view_.peers.live(now))
-        peers.push_back(peer->address);
-    for (auto const& peer : peers)
-        co_await send(peer, message);
+    auto const live = view_.peers.live(now);
+    auto const unanswered = std::make_shared<std::size_t>(live.size());
+    auto const all_answered = std::make_shared<asio::steady_timer>(
+        executor_, state_.settings.peers.call_timeout);
+    auto const count_answer = [unanswered, all_answered](std::exception_ptr)
+    {
+        if (--*unanswered == 0)
+            all_answered->cancel();
+    };
+    // All at once, so that silent peers can't hold up the stop one by one.
+    for (auto const* peer : live)
+        asio::co_spawn(executor_, send(peer->address, message), count_answer);
+    if (*unanswered > 0)
+        co_await all_answered->async_wait(as_values);
 }
 
 boost::json::value peer_watch::describe(time_point now) const
--- a/libs/homes/include/homes/inherited_tables.hpp
+++ b/libs/homes/include/homes/inherited_tables.hpp
@@ -25,8 +25,8 @@
     milliseconds retention{600'000};
     /// Limits over all tables together.
     std::size_t max_tables = 64;
-    std::size_t max_ids = 400'000;
-    std::size_t max_answer_bytes = 48 << 20;
+    std::size_t max_ids = 100'000;
+    std::size_t max_answer_bytes = 24 << 20;
 };
 
 struct inherited_statistics
--- a/libs/homes/include/homes/submission_table.hpp
+++ b/libs/homes/include/homes/submission_table.hpp
@@ -34,9 +34,9 @@
     /// Time that an answer is kept, unless a limit is hit. New ids of a
     /// generation are taken for as long after it ended.
     milliseconds retention{600'000};
-    std::size_t max_ids = 400'000;
+    std::size_t max_ids = 100'000;
     /// Bytes of all kept answers.
-    std::size_t max_answer_bytes = 48 << 20;
+    std::size_t max_answer_bytes = 24 << 20;
 };
 
 struct table_statistics
