--- a/tools/bench/run.sh
+++ b/tools/bench/run.sh
@@ -18,6 +18,8 @@
 readonly seed="${MASTICSHIFT_BENCH_SEED:-20261204}"
 readonly run_ms="${MASTICSHIFT_BENCH_RUN_MS:-12000}"
 readonly warm_up_ms=3000
+readonly heartbeat_ms="${MASTICSHIFT_BENCH_HEARTBEAT_MS:-500}"
+readonly loan_ms="${MASTICSHIFT_BENCH_LOAN_MS:-200}"
 
 pids=()
 entry_pids=()
@@ -103,8 +105,10 @@
 address = "$platform"
 [peers]
 addresses = [$peers]
+heartbeat_interval_ms = $heartbeat_ms
 [placement]
 policy = "$policy"
+loan_ms = $loan_ms
 [log]
 path = "$work/entry$i.log"
 TOML
