--- a/libs/daemon/src/peer_watch.cpp
+++ b/libs/daemon/src/peer_watch.cpp
@@ -299,7 +299,8 @@
     auto const unanswered = std::make_shared<std::size_t>(live.size());
     auto const all_answered = std::make_shared<asio::steady_timer>(
         executor_, state_.settings.peers.call_timeout);
-    auto const count_answer = [unanswered, all_answered](std::exception_ptr)
+    auto const count_answer =
+        [unanswered, all_answered](std::exception_ptr const&)
     {
         if (--*unanswered == 0)
             all_answered->cancel();
