--- a/libs/config/src/daemon_settings.cpp
+++ b/libs/config/src/daemon_settings.cpp
@@ -1,10 +1,8 @@
 #include <config/daemon_settings.hpp>
 
 #include "daemon_keys.hpp"
+#include "settings_file.hpp"
 #include "to_outcome.hpp"
-#include "toml_shape.hpp"
-
-#include <fstream>
 
 namespace masticshift::config
 {
@@ -46,20 +44,6 @@
                   "entry: the three addresses must differ");
 }
 
-/// Reads one byte more than a text may have, so that a longer one is seen.
-outcome<std::string> read_file(std::string const& path)
-{
-    std::ifstream file(path, std::ios::binary);
-    if (!file)
-        return failure{result_code::io_error, "cannot open " + path};
-    std::string text(max_text_bytes + 1, '\0');
-    file.read(text.data(), static_cast<std::streamsize>(text.size()));
-    if (file.bad())
-        return failure{result_code::io_error, "cannot read " + path};
-    text.resize(static_cast<std::size_t>(file.gcount()));
-    return text;
-}
-
 } // namespace
 
 leaf::result<daemon_settings> parse_daemon_settings(std::string_view toml,
@@ -79,7 +63,7 @@
 
 outcome<daemon_settings> load_daemon_settings(std::string const& path)
 {
-    auto const text = read_file(path);
+    auto const text = read_settings_file(path);
     if (!text)
         return text.error();
     return to_outcome<daemon_settings>(
--- a/libs/config/src/read_value.cpp
+++ b/libs/config/src/read_value.cpp
@@ -115,6 +115,19 @@
     return {};
 }
 
+read_result read_value(toml_value const& value, value_rule const& rule,
+                       double& number)
+{
+    auto const read = value.node->value<double>();
+    if (!read || value.node->is_boolean())
+        return wrong_type(value, "a number");
+    if (*read < static_cast<double>(rule.least) ||
+        *read > static_cast<double>(rule.most))
+        return out_of_range(value, range_of(rule));
+    number = *read;
+    return {};
+}
+
 read_result read_value(toml_value const& value, value_rule const& rule,
                        unsigned& number)
 {
--- a/libs/config/src/read_value.hpp
+++ b/libs/config/src/read_value.hpp
@@ -43,6 +43,7 @@
 
 // One overload for each type that a key can have.
 read_result read_value(toml_value const&, value_rule const&, bool&);
+read_result read_value(toml_value const&, value_rule const&, double&);
 read_result read_value(toml_value const&, value_rule const&, unsigned&);
 read_result read_value(toml_value const&, value_rule const&, std::size_t&);
 read_result read_value(toml_value const&, value_rule const&, milliseconds&);
--- a/libs/core/include/core/result_code.hpp
+++ b/libs/core/include/core/result_code.hpp
@@ -40,6 +40,8 @@
     not_ready = 205,
     platform_unavailable = 206,
     too_many_connections = 207,
+    unsupported_job = 208,
+    no_dispatcher = 209,
 
     // How a job that was accepted ended without an answer.
     outcome_unknown = 300,
--- a/libs/core/src/log.cpp
+++ b/libs/core/src/log.cpp
@@ -3,7 +3,10 @@
 #include <boost/json/serialize.hpp>
 #include <easylogging++.h>
 
+#include "line_buffer.hpp"
+
 #include <chrono>
+#include <unistd.h>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -14,13 +17,15 @@
 {
 
 log_settings current;
+line_buffer waiting_lines;
 
 void configure_library(log_settings const& settings)
 {
     el::Configurations library;
     library.setToDefault();
     library.setGlobally(el::ConfigurationType::Format, "%msg");
-    bool const to_file = !settings.path.empty();
+    bool const to_file =
+        !settings.path.empty() && settings.path != standard_output;
     library.setGlobally(el::ConfigurationType::ToFile,
                         to_file ? "true" : "false");
     library.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
@@ -37,6 +42,11 @@
 
 void write_line(log_level level, std::string const& line)
 {
+    if (current.path == standard_output)
+    {
+        waiting_lines.push(line);
+        return;
+    }
     // The library has no logger for standard error, only for standard output.
     if (current.path.empty())
     {
@@ -60,6 +70,16 @@
 
 } // namespace
 
+void flush_log()
+{
+    waiting_lines.write_to(STDOUT_FILENO);
+}
+
+unsigned long dropped_log_lines()
+{
+    return waiting_lines.dropped();
+}
+
 std::string_view name_of(log_level level)
 {
     switch (level)
--- a/libs/daemon/src/configuration_fetcher.hpp
+++ b/libs/daemon/src/configuration_fetcher.hpp
@@ -6,9 +6,9 @@
 
 #include <membership/configuration_tracker.hpp>
 #include <peer_link/peer_client.hpp>
-#include <platform/configuration_store.hpp>
-#include <platform/http_platform.hpp>
-#include <platform/timer_wait.hpp>
+#include <store/configuration_store.hpp>
+#include <store/http_platform.hpp>
+#include <store/timer_wait.hpp>
 
 #include <boost/asio/awaitable.hpp>
 
@@ -19,8 +19,8 @@
 {
 
 using configuration_store =
-    platform::configuration_store<platform::http_platform,
-                                  platform::timer_wait>;
+    store::configuration_store<store::http_platform,
+                                  store::timer_wait>;
 
 /// Fetches configurations that are newer than the one in force, from a peer or
 /// from the platform, and puts them in force.
--- a/libs/daemon/src/entry.cpp
+++ b/libs/daemon/src/entry.cpp
@@ -107,7 +107,7 @@
           holder_(state_, runner_),
           platform_(platform_client_, state_.settings.platform.address,
                     state_.settings.platform.timeout),
-          store_(platform_, platform::timer_wait{}),
+          store_(platform_, store::timer_wait{}),
           view_(make_view(state_)),
           fetcher_(executor, state_, view_.configuration, holder_, store_,
                    peer_client_),
@@ -201,7 +201,7 @@
         {
             watch_.take_revision(revision, steady_clock::now());
         };
-        hooks.on_vms = [this](platform::vm_list const& vms)
+        hooks.on_vms = [this](store::vm_list const& vms)
         {
             watch_.take_vms(vms, steady_clock::now());
         };
@@ -316,7 +316,7 @@
     job_runner runner_;
     submission_service submissions_;
     configuration_holder holder_;
-    platform::http_platform platform_;
+    store::http_platform platform_;
     configuration_store store_;
     membership::membership_view view_;
     configuration_fetcher fetcher_;
--- a/libs/daemon/src/peer_watch.cpp
+++ b/libs/daemon/src/peer_watch.cpp
@@ -183,15 +183,15 @@
     fetcher_.start_next(now);
 }
 
-void peer_watch::take_vms(platform::vm_list const& vms, time_point now)
+void peer_watch::take_vms(store::vm_list const& vms, time_point now)
 {
     membership::vm_list list;
     list.as_of_us = vms.as_of_us;
     for (auto const& vm : vms.vms)
     {
         auto const address = config::to_string(vm.address);
-        bool const leaving = vm.state == platform::vm_state::leaving;
-        if (vm.role == platform::vm_role::entry)
+        bool const leaving = vm.state == store::vm_state::leaving;
+        if (vm.role == store::vm_role::entry)
             list.entries.push_back({address, vm.data_centre, leaving});
         else
             list.endpoints.push_back({address, leaving});
--- a/libs/daemon/src/peer_watch.hpp
+++ b/libs/daemon/src/peer_watch.hpp
@@ -8,7 +8,7 @@
 #include <membership/membership_view.hpp>
 #include <peer_link/peer_client.hpp>
 #include <peer_link/wire.hpp>
-#include <platform/vm_list.hpp>
+#include <store/vm_list.hpp>
 #include <transport/http_client.hpp>
 
 #include <boost/asio/awaitable.hpp>
@@ -40,7 +40,7 @@
     outcome<wire::heartbeat_reply> hear(wire::heartbeat const& message,
                                         time_point now);
 
-    void take_vms(platform::vm_list const& vms, time_point now);
+    void take_vms(store::vm_list const& vms, time_point now);
     void take_revision(std::uint64_t revision, time_point now);
 
     /// Peers that can take a table over, the best first.
--- a/libs/daemon/src/platform_watch.cpp
+++ b/libs/daemon/src/platform_watch.cpp
@@ -13,7 +13,7 @@
 } // namespace
 
 platform_watch::platform_watch(entry_state& state,
-                               platform::http_platform& platform,
+                               store::http_platform& platform,
                                configuration_store& store, hooks connected)
     : state_(state),
       platform_(platform),
@@ -24,7 +24,7 @@
 
 asio::awaitable<void> platform_watch::run()
 {
-    platform::timer_wait const pause;
+    store::timer_wait const pause;
     while (true)
     {
         co_await read_revision();
--- a/libs/daemon/src/platform_watch.hpp
+++ b/libs/daemon/src/platform_watch.hpp
@@ -4,8 +4,8 @@
 #include "configuration_fetcher.hpp"
 #include "entry_state.hpp"
 
-#include <platform/http_platform.hpp>
-#include <platform/vm_list.hpp>
+#include <store/http_platform.hpp>
+#include <store/vm_list.hpp>
 
 #include <boost/asio/awaitable.hpp>
 
@@ -23,10 +23,10 @@
     struct hooks
     {
         std::function<void(std::uint64_t revision)> on_revision;
-        std::function<void(platform::vm_list const&)> on_vms;
+        std::function<void(store::vm_list const&)> on_vms;
     };
 
-    platform_watch(entry_state& state, platform::http_platform& platform,
+    platform_watch(entry_state& state, store::http_platform& platform,
                    configuration_store& store, hooks connected);
 
     /// Runs until it is cancelled.
@@ -37,7 +37,7 @@
     boost::asio::awaitable<void> read_vms();
 
     entry_state& state_;
-    platform::http_platform& platform_;
+    store::http_platform& platform_;
     configuration_store& store_;
     hooks hooks_;
 };
--- /dev/null
+++ b/libs/dispatch/include/dispatch/peer_roster.hpp
@@ -0,0 +1,147 @@
+#ifndef MASTICSHIFT_DISPATCH_PEER_ROSTER_HPP
+#define MASTICSHIFT_DISPATCH_PEER_ROSTER_HPP
+
+#include <core/time.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace masticshift::dispatch
+{
+
+/// One life of an entry.
+struct entry_identity
+{
+    /// What peers connect to, `IP:PORT`.
+    std::string address;
+    /// Grows with each start of the process.
+    std::int64_t incarnation = 0;
+    std::string data_centre;
+    /// Thousandths of a core that it may use.
+    int processor = 0;
+
+    friend bool operator==(entry_identity const&,
+                           entry_identity const&) = default;
+};
+
+/// An entry's statement that it dispatches.
+struct dispatch_claim
+{
+    std::int64_t token = 0;
+    /// Endpoints that it can place tasks on.
+    std::int64_t endpoints = 0;
+    /// Takes no new jobs and hands its endpoints over.
+    bool retiring = false;
+};
+
+/// What entries tell each other several times a second.
+struct sign_of_life
+{
+    entry_identity sender;
+    bool leaving = false;
+    std::optional<dispatch_claim> claim;
+    std::int64_t configuration_version = 0;
+    std::int64_t highest_token = 0;
+    std::vector<entry_identity> known;
+};
+
+/// Who is alive, who dispatches, and who should.
+///
+/// Nothing here is agreed upon. Two entries may both dispatch for a while: the
+/// endpoints obey the higher token, and one of the two gives way as soon as
+/// they hear of each other.
+class peer_roster
+{
+public:
+    peer_roster(entry_identity self, time_point started);
+
+    /// An address at which an entry may be.
+    void add_candidate(std::string const& address);
+
+    void heard(sign_of_life const& sign, time_point now);
+
+    /// Nobody listens at this address.
+    void refused(std::string const& address);
+
+    bool is_alive(std::string const& address, time_point now) const;
+
+    /// Lives that are over since the last call.
+    std::vector<entry_identity> take_ended(time_point now);
+
+    /// Addresses to send the next sign of life to.
+    std::vector<std::string> targets(time_point now);
+
+    /// The address of the entry that takes new jobs, this one's or another's.
+    std::optional<std::string> dispatcher(time_point now) const;
+
+    /// An entry that still dispatches and hands its endpoints over.
+    std::optional<std::string> retiring_dispatcher(time_point now) const;
+
+    /// Another entry that dispatches, retiring or not.
+    bool has_rival(time_point now) const;
+
+    bool should_claim(time_point now) const;
+
+    /// Whether another entry should dispatch in place of this one.
+    bool should_retire(time_point now) const;
+
+    /// A token higher than all that are known. `unix_seconds` keeps a process
+    /// that has just started above its former life.
+    std::int64_t next_token(std::int64_t unix_seconds) const;
+
+    /// Endpoints have seen a token that is not known here.
+    void note_unknown_token();
+
+    void set_claim(std::optional<dispatch_claim> claim);
+    void set_leaving();
+    void set_configuration_version(std::int64_t version);
+
+    sign_of_life own_sign(time_point now) const;
+
+    entry_identity const& self() const
+    {
+        return self_;
+    }
+
+    std::int64_t newest_configuration() const;
+
+    /// An entry that has this version of the configuration or a later one.
+    std::optional<std::string> holder_of_configuration(std::int64_t version,
+                                                       time_point now) const;
+
+    /// Some other entry that is alive. Another one with each call.
+    std::optional<std::string> some_peer(time_point now);
+
+    std::size_t alive_count(time_point now) const;
+
+private:
+    struct peer
+    {
+        sign_of_life sign;
+        time_point heard{};
+        bool ended = false;
+    };
+
+    bool is_alive(peer const& known, time_point now) const;
+    bool outranks(entry_identity const& other) const;
+
+    entry_identity self_;
+    time_point started_;
+    bool leaving_ = false;
+    std::optional<dispatch_claim> claim_;
+    std::int64_t configuration_version_ = 0;
+    std::int64_t highest_token_ = 0;
+    std::int64_t token_step_ = 1;
+    std::map<std::string, peer> peers_;
+    std::set<std::string> candidates_;
+    std::vector<entry_identity> ended_;
+    std::size_t turn_ = 0;
+};
+
+} // namespace masticshift::dispatch
+
+#endif
--- /dev/null
+++ b/libs/dispatch/src/dispatcher.cpp
@@ -0,0 +1,367 @@
+#include <dispatch/dispatcher.hpp>
+
+#include "dispatcher_impl.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace masticshift::dispatch
+{
+
+namespace
+{
+
+/// Progress is told by lists, which come every 200 ms.
+constexpr milliseconds progress_interval{50};
+
+} // namespace
+
+dispatcher::impl::impl(dispatch_limits limits, std::int64_t token)
+    : token_(token), limits_(limits)
+{
+}
+
+endpoint_account* dispatcher::impl::find(std::string const& endpoint)
+{
+    auto const found = accounts_.find(endpoint);
+    return found == accounts_.end() ? nullptr : found->second.get();
+}
+
+void dispatcher::impl::note(std::string_view event, job_state const& job,
+                            std::string const& task,
+                            std::string const& endpoint,
+                            std::string_view outcome, double value)
+{
+    decisions_.push_back(
+        {event, job.spec.id, task, endpoint, outcome, value});
+}
+
+void dispatcher::impl::update_endpoint(endpoint_record record, time_point now)
+{
+    auto const id = record.id;
+    removed_.erase(id);
+    auto& account = accounts_[id];
+    if (!account)
+    {
+        account = std::make_unique<endpoint_account>(std::move(record), token_,
+                                                     limits_);
+        wakened_.insert(id);
+        return;
+    }
+    auto const over = account->begin_new_life(record.started_ms);
+    account->update(std::move(record));
+    for (auto const& each : over)
+        run_ended(*account, each, now);
+    if (!over.empty())
+        wakened_.insert(id);
+}
+
+void dispatcher::impl::raise_token(std::int64_t token)
+{
+    token_ = token;
+    for (auto const& [id, account] : accounts_)
+    {
+        if (account->raise_token(token))
+            wakened_.insert(id);
+    }
+}
+
+std::vector<std::string> dispatcher::impl::release_idle()
+{
+    std::vector<std::string> released;
+    if (!queue_.jobs().empty())
+        return released;
+    std::erase_if(accounts_,
+                  [&](auto const& each)
+                  {
+                      if (!each.second->runs().empty())
+                          return false;
+                      released.push_back(each.first);
+                      return true;
+                  });
+    return released;
+}
+
+void dispatcher::impl::remove_endpoint(std::string const& id, time_point)
+{
+    auto* const account = find(id);
+    if (account == nullptr)
+        return;
+    auto record = account->record();
+    record.stage = endpoint_stage::draining;
+    account->update(std::move(record));
+    removed_.insert(id);
+}
+
+std::optional<list_order>
+dispatcher::impl::next_list(std::string const& endpoint, time_point now)
+{
+    auto* const account = find(endpoint);
+    if (account == nullptr)
+        return std::nullopt;
+    return account->next_list(now);
+}
+
+void dispatcher::impl::list_answered(std::string const& endpoint,
+                                     list_order const& order,
+                                     run_list const& list,
+                                     std::int64_t endpoint_clock,
+                                     time_point sent, time_point now)
+{
+    auto* const account = find(endpoint);
+    if (account == nullptr)
+        return;
+    account->note_answer(now);
+    account->note_acknowledged(order.acknowledged_end);
+    auto changes = account->apply_list(list, sent, now);
+    account->note_clock(endpoint_clock, now);
+    for (auto const& key : changes.foreign)
+    {
+        ++live_runs_[key.task];
+        decisions_.push_back(
+            {"foreign_run", {}, key.task, endpoint, "stopped", 0});
+        stop_run(*account, key, now);
+    }
+    for (auto& over : changes.over)
+        run_ended(*account, std::move(over), now);
+    place(now);
+}
+
+void dispatcher::impl::list_failed(std::string const& endpoint,
+                                   order_answer answer, time_point now)
+{
+    auto* const account = find(endpoint);
+    if (account == nullptr)
+        return;
+    decisions_.push_back(
+        {"list_failed", {}, {}, endpoint, name_of(answer), 0});
+    if (answer == order_answer::outranked)
+        account->note_outranked();
+    else
+        account->note_silence(now);
+}
+
+void dispatcher::impl::tick(time_point now)
+{
+    bool const progress_due = now - progress_checked_ >= progress_interval;
+    if (progress_due)
+        progress_checked_ = now;
+    for (auto const& [id, account] : accounts_)
+    {
+        for (auto& over : account->take_lapsed(now))
+            run_ended(*account, std::move(over), now);
+        repeat_stops(*account, now);
+        if (progress_due)
+            check_progress(*account, now);
+    }
+    std::erase_if(removed_,
+                  [&](std::string const& id)
+                  {
+                      auto const* const account = find(id);
+                      return account != nullptr && account->runs().empty() &&
+                             accounts_.erase(id) > 0;
+                  });
+    check_abandoned(now);
+    check_waiting(now);
+    place(now);
+}
+
+std::vector<endpoint_status> dispatcher::impl::status(time_point now) const
+{
+    std::vector<endpoint_status> rows;
+    for (auto const& [id, account] : accounts_)
+    {
+        rows.push_back({id, name_of(account->link()),
+                        name_of(account->health().trust(now)),
+                        account->runs().size(), account->free(),
+                        speeds_.speed(account->record().vm)});
+    }
+    return rows;
+}
+
+std::size_t dispatcher::impl::runs() const
+{
+    std::size_t count = 0;
+    for (auto const& [id, account] : accounts_)
+        count += account->runs().size();
+    return count;
+}
+
+dispatcher::dispatcher(dispatch_limits limits, std::int64_t token)
+    : impl_(std::make_unique<impl>(limits, token))
+{
+}
+
+dispatcher::~dispatcher() = default;
+
+std::int64_t dispatcher::token() const
+{
+    return impl_->token_;
+}
+
+void dispatcher::raise_token(std::int64_t token)
+{
+    impl_->raise_token(token);
+}
+
+void dispatcher::retire(time_point now)
+{
+    impl_->retire(now);
+}
+
+std::vector<std::string> dispatcher::release_idle()
+{
+    return impl_->release_idle();
+}
+
+std::size_t dispatcher::outranked() const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(impl_->accounts_,
+                              [](auto const& each)
+                              {
+                                  return each.second->link() ==
+                                         endpoint_link::outranked;
+                              }));
+}
+
+std::size_t dispatcher::usable() const
+{
+    return static_cast<std::size_t>(
+        std::ranges::count_if(impl_->accounts_,
+                              [](auto const& each)
+                              {
+                                  return each.second->link() ==
+                                         endpoint_link::active;
+                              }));
+}
+
+void dispatcher::submit(job_spec spec, std::string origin, time_point now)
+{
+    impl_->submit(std::move(spec), std::move(origin), now);
+}
+
+void dispatcher::withdraw(std::string const& id, std::string const& origin,
+                          time_point now)
+{
+    impl_->withdraw(id, origin, now);
+}
+
+void dispatcher::drop_origin(std::string const& origin, time_point now)
+{
+    impl_->drop_origin(origin, now);
+}
+
+void dispatcher::resign(time_point now)
+{
+    impl_->resign(now);
+}
+
+void dispatcher::update_endpoint(endpoint_record record, time_point now)
+{
+    impl_->update_endpoint(std::move(record), now);
+}
+
+void dispatcher::remove_endpoint(std::string const& id, time_point now)
+{
+    impl_->remove_endpoint(id, now);
+}
+
+std::optional<list_order> dispatcher::next_list(std::string const& endpoint,
+                                                time_point now)
+{
+    return impl_->next_list(endpoint, now);
+}
+
+void dispatcher::list_answered(std::string const& endpoint,
+                               list_order const& order, run_list const& list,
+                               std::int64_t endpoint_clock, time_point sent,
+                               time_point now)
+{
+    impl_->list_answered(endpoint, order, list, endpoint_clock, sent, now);
+}
+
+void dispatcher::list_failed(std::string const& endpoint, order_answer answer,
+                             time_point now)
+{
+    impl_->list_failed(endpoint, answer, now);
+}
+
+void dispatcher::start_answered(start_order const& order, order_answer answer,
+                                std::optional<std::int64_t> endpoint_clock,
+                                time_point now)
+{
+    impl_->start_answered(order, answer, endpoint_clock, now);
+}
+
+void dispatcher::stop_answered(stop_order const& order, order_answer answer,
+                               time_point now)
+{
+    impl_->stop_answered(order, answer, now);
+}
+
+void dispatcher::tick(time_point now)
+{
+    impl_->tick(now);
+}
+
+std::vector<start_order> dispatcher::take_starts()
+{
+    return std::exchange(impl_->starts_, {});
+}
+
+std::vector<stop_order> dispatcher::take_stops()
+{
+    return std::exchange(impl_->stops_, {});
+}
+
+std::vector<finished_job> dispatcher::take_finished()
+{
+    return std::exchange(impl_->finished_, {});
+}
+
+std::vector<decision> dispatcher::take_decisions()
+{
+    return std::exchange(impl_->decisions_, {});
+}
+
+std::vector<std::string> dispatcher::take_wakened()
+{
+    auto const taken = std::exchange(impl_->wakened_, {});
+    return {taken.begin(), taken.end()};
+}
+
+speed_book& dispatcher::speeds()
+{
+    return impl_->speeds_;
+}
+
+std::vector<endpoint_status> dispatcher::status(time_point now) const
+{
+    return impl_->status(now);
+}
+
+std::size_t dispatcher::jobs() const
+{
+    return impl_->jobs_.size();
+}
+
+std::size_t dispatcher::runs() const
+{
+    return impl_->runs();
+}
+
+std::size_t dispatcher::waiting_tasks() const
+{
+    std::size_t count = 0;
+    for (auto const& [key, job] : impl_->queue_.jobs())
+        count += static_cast<std::size_t>(job->waiting_tasks);
+    return count;
+}
+
+std::size_t dispatcher::endpoints() const
+{
+    return impl_->accounts_.size();
+}
+
+} // namespace masticshift::dispatch
--- /dev/null
+++ b/libs/dispatch/src/dispatcher_impl.hpp
@@ -0,0 +1,108 @@
+#ifndef MASTICSHIFT_DISPATCH_DISPATCHER_IMPL_HPP
+#define MASTICSHIFT_DISPATCH_DISPATCHER_IMPL_HPP
+
+#include "endpoint_account.hpp"
+#include "job_state.hpp"
+#include "placement_choice.hpp"
+#include "wait_queue.hpp"
+
+#include <dispatch/dispatcher.hpp>
+
+#include <set>
+#include <unordered_map>
+
+namespace masticshift::dispatch
+{
+
+/// State and steps of the dispatcher. The public members are those of
+/// `dispatcher`.
+class dispatcher::impl
+{
+public:
+    impl(dispatch_limits limits, std::int64_t token);
+
+    void submit(job_spec spec, std::string origin, time_point now);
+    void withdraw(std::string const& id, std::string const& origin,
+                  time_point now);
+    void drop_origin(std::string const& origin, time_point now);
+    void resign(time_point now);
+    void raise_token(std::int64_t token);
+    void retire(time_point now);
+    std::vector<std::string> release_idle();
+
+    void update_endpoint(endpoint_record record, time_point now);
+    void remove_endpoint(std::string const& id, time_point now);
+
+    std::optional<list_order> next_list(std::string const& endpoint,
+                                        time_point now);
+    void list_answered(std::string const& endpoint, list_order const& order,
+                       run_list const& list, std::int64_t endpoint_clock,
+                       time_point sent, time_point now);
+    void list_failed(std::string const& endpoint, order_answer answer,
+                     time_point now);
+    void start_answered(start_order const& order, order_answer answer,
+                        std::optional<std::int64_t> endpoint_clock,
+                        time_point now);
+    void stop_answered(stop_order const& order, order_answer answer,
+                       time_point now);
+    void tick(time_point now);
+
+    std::vector<endpoint_status> status(time_point now) const;
+    std::size_t runs() const;
+
+    std::int64_t token_ = 0;
+    speed_book speeds_;
+    account_map accounts_;
+    wait_queue queue_;
+    std::unordered_map<std::string, job_ptr> jobs_;
+    std::vector<start_order> starts_;
+    std::vector<stop_order> stops_;
+    std::vector<finished_job> finished_;
+    std::vector<decision> decisions_;
+    std::set<std::string> wakened_;
+
+private:
+    endpoint_account* find(std::string const& endpoint);
+    duration chain_time(job_spec const& spec) const;
+    std::optional<job_result> refusal_of(job_state const& job, time_point now);
+    duration wait_ahead_of(job_state const& job, duration latest) const;
+    void enqueue(job_ptr const& job, time_point now);
+    void finish(job_ptr const& job, job_result result, time_point now);
+    void check_waiting(time_point now);
+    void check_abandoned(time_point now);
+
+    void place(time_point now);
+    void place_job(job_ptr const& job, time_point now);
+    bool place_task(job_ptr const& job, std::size_t index, time_point now);
+    std::int64_t largest_free() const;
+
+    void stop_run(endpoint_account& account, run_key const& key,
+                  time_point now);
+    void repeat_stops(endpoint_account& account, time_point now);
+    void run_ended(endpoint_account& account, run_over over, time_point now);
+    void task_done(endpoint_account& account, run_over const& over,
+                   time_point now);
+    void task_failed(endpoint_account& account, run_over const& over,
+                     time_point now);
+    void task_lost(run_over const& over, time_point now);
+    void put_back(job_ptr const& job, std::size_t index, time_point now);
+    void discard_start(endpoint_account& account, run_key const& key,
+                       time_point now);
+    void check_progress(endpoint_account& account, time_point now);
+    duration restart_time(placed_run const& run, time_point now);
+    void note(std::string_view event, job_state const& job,
+              std::string const& task, std::string const& endpoint,
+              std::string_view outcome, double value);
+
+    dispatch_limits limits_;
+    std::uint64_t next_job_ = 1;
+    /// Runs by task that may be at work, also those of ended jobs.
+    std::unordered_map<std::string, int> live_runs_;
+    std::set<std::string> removed_;
+    time_point progress_checked_{};
+    bool retiring_ = false;
+};
+
+} // namespace masticshift::dispatch
+
+#endif
--- /dev/null
+++ b/libs/dispatch/src/dispatcher_jobs.cpp
@@ -0,0 +1,238 @@
+#include "dispatcher_impl.hpp"
+
+#include <algorithm>
+
+namespace masticshift::dispatch
+{
+
+namespace
+{
+
+/// Part of the objective within which a refusal is early.
+constexpr int early_part = 4;
+
+/// Bounds of the pause that a refused caller is told.
+constexpr milliseconds least_retry{200};
+constexpr milliseconds longest_retry{5'000};
+
+job_result refused(end_reason reason, duration wait)
+{
+    auto const pause = std::clamp(
+        std::chrono::duration_cast<milliseconds>(wait), least_retry,
+        longest_retry);
+    return {job_end::refused, reason, pause};
+}
+
+} // namespace
+
+duration dispatcher::impl::chain_time(job_spec const& spec) const
+{
+    std::vector<duration> ends;
+    duration longest{0};
+    for (auto const& step : spec.steps)
+    {
+        duration start{0};
+        for (auto const earlier : step.after)
+            start = std::max(start, ends[static_cast<std::size_t>(earlier)]);
+        ends.push_back(start + speeds_.expected(spec.queue, step.estimate));
+        longest = std::max(longest, ends.back());
+    }
+    return longest;
+}
+
+void dispatcher::impl::submit(job_spec spec, std::string origin, time_point now)
+{
+    auto const known = jobs_.find(spec.id);
+    if (known != jobs_.end())
+    {
+        auto const earlier = known->second;
+        finish(earlier, {job_end::unknown, end_reason::superseded}, now);
+    }
+    auto job = make_job(std::move(spec), std::move(origin), next_job_++, now);
+    auto const chain = chain_time(job->spec);
+    job->objective =
+        now + std::chrono::duration_cast<duration>(
+                  chain * job->spec.slack_factor) +
+        job->spec.target_latency;
+    jobs_[job->spec.id] = job;
+    if (retiring_)
+    {
+        finish(job, {job_end::refused, end_reason::not_dispatcher}, now);
+        return;
+    }
+    auto const refusal = refusal_of(*job, now);
+    if (refusal)
+    {
+        finish(job, *refusal, now);
+        return;
+    }
+    enqueue(job, now);
+    place(now);
+}
+
+std::optional<job_result> dispatcher::impl::refusal_of(job_state const& job,
+                                                       time_point now)
+{
+    placement_choice const choice(accounts_, speeds_, limits_.remote_factor);
+    if (!accounts_.empty())
+    {
+        for (auto const& step : job.spec.steps)
+        {
+            if (!choice.ever_fits(job, step))
+                return refused(end_reason::never_fits, longest_retry);
+        }
+    }
+    auto const slack = job.objective - now - chain_time(job.spec);
+    auto const wait = wait_ahead_of(job, slack);
+    if (wait > slack)
+        return refused(end_reason::overloaded, wait - slack);
+    return std::nullopt;
+}
+
+duration dispatcher::impl::wait_ahead_of(job_state const& job,
+                                         duration latest) const
+{
+    double capacity = 0;
+    for (auto const& [id, account] : accounts_)
+    {
+        if (account->takes_work())
+            capacity += static_cast<double>(
+                account->record().capacity.processor);
+    }
+    if (capacity <= 0)
+        return {};
+    auto const chain = chain_time(job.spec);
+    wait_queue::key const place{false, job.objective - chain, job.number};
+    duration wait{0};
+    for (auto const& [key, ahead] : queue_.jobs())
+    {
+        if (key >= place || wait > 2 * latest)
+            break;
+        auto const& step = ahead->spec.steps.front();
+        auto const work =
+            speeds_.expected(ahead->spec.queue, step.estimate) *
+            (static_cast<double>(step.need.processor) * ahead->waiting_tasks);
+        wait += std::chrono::duration_cast<duration>(work / capacity);
+    }
+    return wait;
+}
+
+void dispatcher::impl::enqueue(job_ptr const& job, time_point now)
+{
+    auto const latest_start = job->objective - chain_time(job->spec);
+    queue_.put(job, now > latest_start, latest_start);
+}
+
+void dispatcher::impl::finish(job_ptr const& job, job_result result,
+                              time_point now)
+{
+    if (job->ended)
+        return;
+    job->ended = true;
+    queue_.remove(*job);
+    auto const known = jobs_.find(job->spec.id);
+    if (known != jobs_.end() && known->second == job)
+        jobs_.erase(known);
+    if (result.end == job_end::refused && job->offered)
+        result.end = job_end::unknown;
+    for (auto const& task : job->tasks)
+    {
+        if (task.phase != task_phase::placed)
+            continue;
+        if (auto* const account = find(task.endpoint))
+            stop_run(*account, {task.name, task.last_run}, now);
+    }
+    note("job_ended", *job, {}, {}, name_of(result.reason),
+         to_milliseconds(now - job->accepted));
+    finished_.push_back({job->spec.id, job->origin, result, job->accepted});
+}
+
+void dispatcher::impl::withdraw(std::string const& id,
+                                std::string const& origin, time_point now)
+{
+    auto const found = jobs_.find(id);
+    if (found == jobs_.end() || found->second->origin != origin)
+        return;
+    auto const job = found->second;
+    finish(job, {job_end::refused, end_reason::withdrawn}, now);
+    place(now);
+}
+
+void dispatcher::impl::drop_origin(std::string const& origin, time_point now)
+{
+    std::vector<job_ptr> dropped;
+    for (auto const& [id, job] : jobs_)
+    {
+        if (job->origin == origin)
+            dropped.push_back(job);
+    }
+    for (auto const& job : dropped)
+        finish(job, {job_end::refused, end_reason::withdrawn}, now);
+    if (!dropped.empty())
+        place(now);
+}
+
+void dispatcher::impl::resign(time_point now)
+{
+    auto const all = jobs_;
+    for (auto const& [id, job] : all)
+        finish(job, {job_end::refused, end_reason::not_dispatcher}, now);
+}
+
+void dispatcher::impl::retire(time_point now)
+{
+    retiring_ = true;
+    auto const all = jobs_;
+    for (auto const& [id, job] : all)
+    {
+        if (!job->offered)
+            finish(job, {job_end::refused, end_reason::not_dispatcher}, now);
+    }
+}
+
+void dispatcher::impl::check_waiting(time_point now)
+{
+    std::vector<job_ptr> due;
+    for (auto const& [key, job] : queue_.jobs())
+    {
+        auto const early =
+            job->accepted + (job->objective - job->accepted) / early_part;
+        if (!job->offered && !job->wait_checked && now >= early)
+            due.push_back(job);
+        else if (!key.late && now > key.latest_start)
+            due.push_back(job);
+    }
+    for (auto const& job : due)
+    {
+        bool const late = now > job->objective - chain_time(job->spec);
+        if (!job->offered && late)
+        {
+            finish(job, refused(end_reason::overloaded, least_retry), now);
+            continue;
+        }
+        if (!job->offered && !job->wait_checked)
+        {
+            job->wait_checked = true;
+            if (auto const refusal = refusal_of(*job, now))
+            {
+                finish(job, *refusal, now);
+                continue;
+            }
+        }
+        enqueue(job, now);
+    }
+}
+
+void dispatcher::impl::check_abandoned(time_point now)
+{
+    std::vector<job_ptr> due;
+    for (auto const& [id, job] : jobs_)
+    {
+        if (now >= job->abandoned)
+            due.push_back(job);
+    }
+    for (auto const& job : due)
+        finish(job, refused(end_reason::out_of_time, least_retry), now);
+}
+
+} // namespace masticshift::dispatch
--- /dev/null
+++ b/libs/dispatch/src/dispatcher_placement.cpp
@@ -0,0 +1,331 @@
+#include "dispatcher_impl.hpp"
+#include "progress_check.hpp"
+
+#include <algorithm>
+
+namespace masticshift::dispatch
+{
+
+namespace
+{
+
+/// Losses of a task's runs until the job ends. Each costs up to a lease.
+constexpr int most_lost_runs = 4;
+
+/// Numbers skipped when an endpoint has seen a later run of the task. Resent
+/// jobs start their tasks a few times at most.
+constexpr std::int64_t skipped_numbers = 8;
+
+/// A stop that was not confirmed is sent again. Ten round trips and more.
+constexpr milliseconds stop_repeat{100};
+
+} // namespace
+
+std::int64_t dispatcher::impl::largest_free() const
+{
+    std::int64_t largest = -1;
+    for (auto const& [id, account] : accounts_)
+    {
+        if (account->takes_work())
+            largest = std::max(largest, account->free().processor);
+    }
+    return largest;
+}
+
+void dispatcher::impl::place(time_point now)
+{
+    auto const waiting = queue_.jobs();
+    for (auto const& [key, job] : waiting)
+    {
+        auto const& step = job->spec.steps.front();
+        if (job->spec.steps.size() == 1 &&
+            step.need.processor > largest_free())
+            continue;
+        place_job(job, now);
+        if (job->waiting_tasks == 0)
+            queue_.remove(*job);
+    }
+}
+
+void dispatcher::impl::place_job(job_ptr const& job, time_point now)
+{
+    std::set<int> full_steps;
+    for (std::size_t i = 0; i < job->tasks.size(); ++i)
+    {
+        auto const& task = job->tasks[i];
+        if (task.phase != task_phase::waiting ||
+            full_steps.contains(task.step) || live_runs_.contains(task.name))
+            continue;
+        if (!place_task(job, i, now))
+            full_steps.insert(task.step);
+    }
+}
+
+bool dispatcher::impl::place_task(job_ptr const& job, std::size_t index,
+                                  time_point now)
+{
+    auto& task = job->tasks[index];
+    auto const& step = job->spec.steps[static_cast<std::size_t>(task.step)];
+    placement_choice const choice(accounts_, speeds_, limits_.remote_factor);
+    bool const late = now > job->objective - chain_time(job->spec);
+    auto const finish_by = late ? time_point::max() : job->objective;
+    auto const place = choice.choose(*job, step, task.step, finish_by, now);
+    if (place.endpoint == nullptr)
+        return false;
+    task.phase = task_phase::placed;
+    task.endpoint = place.endpoint->record().id;
+    --job->waiting_tasks;
+    job->offered = true;
+    run_key const key{task.name, ++task.last_run};
+    placed_run run;
+    run.job = job;
+    run.task = index;
+    run.need = step.need;
+    run.expected = place.expected;
+    auto const until = place.endpoint->begin_run(key, run, now);
+    ++live_runs_[task.name];
+    starts_.push_back(
+        {task.endpoint, key, job->spec.payload, until,
+         place.endpoint->token()});
+    wakened_.insert(task.endpoint);
+    note("task_placed", *job, task.name, task.endpoint, "ordered",
+         to_milliseconds(place.expected));
+    return true;
+}
+
+void dispatcher::impl::stop_run(endpoint_account& account, run_key const& key,
+                                time_point now)
+{
+    auto const found = account.runs().find(key);
+    if (found == account.runs().end())
+        return;
+    auto& run = found->second;
+    run.unwanted = true;
+    run.stop_sent = now;
+    if (account.link() == endpoint_link::outranked)
+        return;
+    stops_.push_back({account.record().id, key, account.token()});
+    wakened_.insert(account.record().id);
+}
+
+void dispatcher::impl::repeat_stops(endpoint_account& account, time_point now)
+{
+    std::vector<run_key> due;
+    for (auto const& [key, run] : account.runs())
+    {
+        if (run.unwanted && !run.stop_confirmed &&
+            now - run.stop_sent > stop_repeat)
+            due.push_back(key);
+    }
+    for (auto const& key : due)
+        stop_run(account, key, now);
+}
+
+void dispatcher::impl::run_ended(endpoint_account& account, run_over over,
+                                 time_point now)
+{
+    auto const live = live_runs_.find(over.key.task);
+    if (live != live_runs_.end() && --live->second == 0)
+        live_runs_.erase(live);
+    auto const& job = over.run.job;
+    if (!job || job->ended)
+        return;
+    if (over.end == run_end::done)
+        task_done(account, over, now);
+    else if (over.end == run_end::failed)
+        task_failed(account, over, now);
+    else
+        task_lost(over, now);
+}
+
+void dispatcher::impl::task_done(endpoint_account& account,
+                                 run_over const& over, time_point now)
+{
+    auto const& job = over.run.job;
+    auto& task = job->tasks[over.run.task];
+    auto const& step = job->spec.steps[static_cast<std::size_t>(task.step)];
+    account.health().succeeded();
+    speeds_.observe(job->spec.queue, account.record().vm, step.estimate,
+                    now - over.run.ordered);
+    note("task_ended", *job, over.key.task, account.record().id, "done",
+         to_milliseconds(now - over.run.ordered));
+    finish_task(*job, task);
+    if (job->open_tasks == 0)
+        finish(job, {job_end::completed, end_reason::none}, now);
+    else if (job->waiting_tasks > 0)
+        enqueue(job, now);
+}
+
+void dispatcher::impl::task_failed(endpoint_account& account,
+                                   run_over const& over, time_point now)
+{
+    auto const& job = over.run.job;
+    auto& task = job->tasks[over.run.task];
+    account.health().failed(now);
+    ++task.failed_runs;
+    note("task_ended", *job, over.key.task, account.record().id, "failed",
+         task.failed_runs);
+    if (task.failed_runs >= job->spec.max_attempts)
+        finish(job, {job_end::failed, end_reason::attempts_exhausted}, now);
+    else
+        put_back(job, over.run.task, now);
+}
+
+void dispatcher::impl::task_lost(run_over const& over, time_point now)
+{
+    auto const& job = over.run.job;
+    auto& task = job->tasks[over.run.task];
+    ++task.lost_runs;
+    note("task_ended", *job, over.key.task, task.endpoint,
+         over.end ? name_of(*over.end) : "lost", task.lost_runs);
+    if (task.lost_runs > most_lost_runs)
+        finish(job, {job_end::unknown, end_reason::endpoint_lost}, now);
+    else
+        put_back(job, over.run.task, now);
+}
+
+void dispatcher::impl::put_back(job_ptr const& job, std::size_t index,
+                                time_point now)
+{
+    auto& task = job->tasks[index];
+    task.phase = task_phase::waiting;
+    task.endpoint.clear();
+    ++job->waiting_tasks;
+    enqueue(job, now);
+}
+
+void dispatcher::impl::discard_start(endpoint_account& account,
+                                     run_key const& key, time_point now)
+{
+    auto over = account.remove(key);
+    if (!over)
+        return;
+    auto const live = live_runs_.find(key.task);
+    if (live != live_runs_.end() && --live->second == 0)
+        live_runs_.erase(live);
+    if (over->run.job && !over->run.job->ended)
+        put_back(over->run.job, over->run.task, now);
+}
+
+void dispatcher::impl::start_answered(start_order const& order,
+                                      order_answer answer,
+                                      std::optional<std::int64_t> endpoint_clock,
+                                      time_point now)
+{
+    auto* const account = find(order.endpoint);
+    if (account == nullptr)
+        return;
+    if (endpoint_clock)
+    {
+        account->note_clock(*endpoint_clock, now);
+        account->note_answer(now);
+    }
+    auto const found = account->runs().find(order.run);
+    if (found == account->runs().end())
+        return;
+    auto& run = found->second;
+    if (run.job && answer != order_answer::accepted)
+        note("start_answered", *run.job, order.run.task, order.endpoint,
+             name_of(answer), to_milliseconds(now - run.ordered));
+    switch (answer)
+    {
+    case order_answer::accepted:
+        if (run.phase == run_phase::starting)
+        {
+            run.phase = run_phase::running;
+            run.confirmed = now;
+        }
+        return;
+    case order_answer::unanswered:
+        account->health().failed(now);
+        account->note_silence(now);
+        stop_run(*account, order.run, now);
+        return;
+    case order_answer::outranked:
+        account->note_outranked();
+        break;
+    case order_answer::run_too_old:
+        if (run.job)
+            run.job->tasks[run.task].last_run += skipped_numbers;
+        break;
+    case order_answer::no_room:
+        account->note_mismatch();
+        wakened_.insert(order.endpoint);
+        break;
+    case order_answer::malformed:
+        if (run.job && ++run.job->tasks[run.task].failed_runs >=
+                           run.job->spec.max_attempts)
+        {
+            auto const job = run.job;
+            discard_start(*account, order.run, now);
+            finish(job, {job_end::failed, end_reason::attempts_exhausted}, now);
+            return;
+        }
+        break;
+    case order_answer::unhealthy:
+    case order_answer::not_sent:
+    case order_answer::other_instance:
+        account->health().failed(now);
+        account->note_silence(now);
+        break;
+    case order_answer::too_late:
+        break;
+    }
+    discard_start(*account, order.run, now);
+    place(now);
+}
+
+void dispatcher::impl::stop_answered(stop_order const& order,
+                                     order_answer answer, time_point now)
+{
+    auto* const account = find(order.endpoint);
+    if (account == nullptr)
+        return;
+    if (answer == order_answer::outranked)
+        account->note_outranked();
+    auto const found = account->runs().find(order.run);
+    if (answer != order_answer::accepted || found == account->runs().end())
+        return;
+    account->note_answer(now);
+    found->second.stop_confirmed = now;
+    wakened_.insert(order.endpoint);
+}
+
+duration dispatcher::impl::restart_time(placed_run const& run, time_point now)
+{
+    auto const& task = run.job->tasks[run.task];
+    auto const& step =
+        run.job->spec.steps[static_cast<std::size_t>(task.step)];
+    placement_choice const choice(accounts_, speeds_, limits_.remote_factor);
+    auto const place = choice.choose(*run.job, step, task.step,
+                                     time_point::max(), now);
+    return place.endpoint == nullptr ? duration::max() / 8 : place.expected;
+}
+
+void dispatcher::impl::check_progress(endpoint_account& account, time_point now)
+{
+    std::vector<run_key> stops;
+    for (auto const& [key, run] : account.runs())
+    {
+        if (run.phase != run_phase::running || run.unwanted || !run.job ||
+            run.job->ended || now - run.confirmed < run.expected)
+            continue;
+        auto const judged = judge_progress(run, restart_time(run, now), now);
+        if (judged == progress::as_expected)
+            continue;
+        auto const& task = run.job->tasks[run.task];
+        auto const& step =
+            run.job->spec.steps[static_cast<std::size_t>(task.step)];
+        speeds_.observe_at_least(run.job->spec.queue, account.record().vm,
+                                 step.estimate, now - run.confirmed);
+        if (judged == progress::stuck)
+            account.health().failed(now);
+        note("run_restarted", *run.job, key.task, account.record().id,
+             judged == progress::stuck ? "stuck" : "slow", run.percent);
+        stops.push_back(key);
+    }
+    for (auto const& key : stops)
+        stop_run(account, key, now);
+}
+
+} // namespace masticshift::dispatch
--- /dev/null
+++ b/libs/dispatch/src/endpoint_account.cpp
@@ -0,0 +1,283 @@
+#include "endpoint_account.hpp"
+
+#include <algorithm>
+#include <array>
+#include <set>
+
+namespace masticshift::dispatch
+{
+
+namespace
+{
+
+/// An endpoint that has not answered for this long gets no new work, and its
+/// leases are no longer renewed. Three and a half times the usual wait for an
+/// end, so that one lost answer is not enough.
+constexpr milliseconds silent_after{500};
+
+/// How long a list waits for an end while wanted work runs. A fifth of the
+/// longest lease, so that four renewals in a row may fail.
+constexpr milliseconds usual_wait{200};
+
+/// The same while a run has to go: a stop is over soon.
+constexpr milliseconds stopping_wait{20};
+
+constexpr std::array link_names{"unread", "active", "silent", "outranked"};
+
+} // namespace
+
+char const* name_of(endpoint_link link)
+{
+    return link_names.at(static_cast<std::size_t>(link));
+}
+
+endpoint_account::endpoint_account(endpoint_record record, std::int64_t token,
+                                   dispatch_limits limits)
+    : record_(std::move(record)), token_(token), limits_(limits)
+{
+}
+
+void endpoint_account::update(endpoint_record record)
+{
+    record_ = std::move(record);
+}
+
+bool endpoint_account::raise_token(std::int64_t token)
+{
+    if (link_ == endpoint_link::active)
+        return false;
+    token_ = token;
+    link_ = endpoint_link::unread;
+    return true;
+}
+
+std::vector<run_over> endpoint_account::begin_new_life(std::int64_t started_ms)
+{
+    if (started_ms == 0 || started_ms == record_.started_ms)
+        return {};
+    auto over = record_.started_ms == 0 ? std::vector<run_over>{} : take_all();
+    if (record_.started_ms != 0)
+    {
+        clock_.reset();
+        seen_end_ = acknowledged_end_ = 0;
+        link_ = endpoint_link::unread;
+        health_ = {};
+    }
+    record_.started_ms = started_ms;
+    return over;
+}
+
+resources endpoint_account::free() const
+{
+    if (foreign_runs_ > 0 ||
+        (record_.slots > 0 && static_cast<int>(runs_.size()) >= record_.slots))
+        return {};
+    return record_.capacity - used_;
+}
+
+bool endpoint_account::all_wanted() const
+{
+    return std::ranges::none_of(runs_,
+                                [](auto const& each)
+                                {
+                                    return each.second.unwanted ||
+                                           each.second.phase ==
+                                               run_phase::foreign;
+                                });
+}
+
+bool endpoint_account::takes_work() const
+{
+    return link_ == endpoint_link::active &&
+           record_.stage == endpoint_stage::ready && clock_.known() &&
+           all_wanted();
+}
+
+std::int64_t endpoint_account::begin_run(run_key const& key, placed_run run,
+                                         time_point now)
+{
+    run.ordered = now;
+    run.progressed = now;
+    run.lease_until = clock_.lease_end(now, limits_.longest_lease);
+    note_lease(run.lease_until);
+    used_ += run.need;
+    auto const until = run.lease_until;
+    runs_.emplace(key, std::move(run));
+    return until;
+}
+
+void endpoint_account::note_lease(std::int64_t lease_until)
+{
+    leases_over_ = std::max(leases_over_, clock_.passed(lease_until));
+}
+
+std::optional<list_order> endpoint_account::next_list(time_point now)
+{
+    list_order order{token_, seen_end_, std::nullopt, milliseconds(0)};
+    switch (link_)
+    {
+    case endpoint_link::outranked:
+        return std::nullopt;
+    case endpoint_link::unread:
+    case endpoint_link::silent:
+        return order;
+    case endpoint_link::active:
+        break;
+    }
+    if (runs_.empty())
+    {
+        if (seen_end_ > acknowledged_end_)
+            return order;
+        return std::nullopt;
+    }
+    order.wait = stopping_wait;
+    if (clock_.known() && all_wanted())
+    {
+        order.wait = usual_wait;
+        order.lease_until = clock_.lease_end(now, limits_.longest_lease);
+        note_lease(*order.lease_until);
+    }
+    return order;
+}
+
+void endpoint_account::note_acknowledged(std::int64_t number)
+{
+    acknowledged_end_ = std::max(acknowledged_end_, number);
+}
+
+bool endpoint_account::is_over(placed_run const& run, time_point sent) const
+{
+    if (run.stop_confirmed && *run.stop_confirmed + limits_.stop_time < sent)
+        return true;
+    switch (run.phase)
+    {
+    case run_phase::foreign:
+        return true;
+    case run_phase::running:
+        return run.confirmed < sent;
+    case run_phase::starting:
+        break;
+    }
+    return clock_.known() && clock_.passed(run.lease_until) < sent;
+}
+
+void endpoint_account::note_active(active_run const& seen, time_point sent,
+                                   time_point now, list_changes& changes)
+{
+    auto const found = runs_.find(seen.run);
+    if (found == runs_.end())
+    {
+        placed_run foreign;
+        foreign.phase = run_phase::foreign;
+        foreign.ordered = now;
+        foreign.unwanted = true;
+        runs_.emplace(seen.run, foreign);
+        ++foreign_runs_;
+        changes.foreign.push_back(seen.run);
+        return;
+    }
+    auto& run = found->second;
+    if (run.phase == run_phase::starting)
+    {
+        run.phase = run_phase::running;
+        run.confirmed = sent;
+    }
+    if (seen.percent > run.percent)
+    {
+        run.percent = seen.percent;
+        run.progressed = now;
+    }
+}
+
+list_changes endpoint_account::apply_list(run_list const& list, time_point sent,
+                                          time_point now)
+{
+    list_changes changes;
+    changes.over = begin_new_life(list.started_ms);
+    if (link_ != endpoint_link::outranked)
+        link_ = endpoint_link::active;
+    for (auto const& ended : list.ended)
+    {
+        seen_end_ = std::max(seen_end_, ended.number);
+        auto const found = runs_.find(ended.run);
+        if (found != runs_.end())
+            changes.over.push_back(take(found, ended.end));
+    }
+    std::set<run_key> active;
+    for (auto const& seen : list.active)
+    {
+        note_active(seen, sent, now, changes);
+        active.insert(seen.run);
+    }
+    for (auto place = runs_.begin(); place != runs_.end();)
+    {
+        auto const next = std::next(place);
+        if (!active.contains(place->first) && is_over(place->second, sent))
+            changes.over.push_back(take(place, std::nullopt));
+        place = next;
+    }
+    return changes;
+}
+
+void endpoint_account::note_clock(std::int64_t endpoint_ms, time_point received)
+{
+    clock_.observe(endpoint_ms, received);
+}
+
+void endpoint_account::note_answer(time_point now)
+{
+    last_answer_ = now;
+}
+
+void endpoint_account::note_silence(time_point now)
+{
+    if (link_ == endpoint_link::active && now - last_answer_ > silent_after)
+        link_ = endpoint_link::silent;
+}
+
+void endpoint_account::note_outranked()
+{
+    link_ = endpoint_link::outranked;
+}
+
+void endpoint_account::note_mismatch()
+{
+    if (link_ == endpoint_link::active)
+        link_ = endpoint_link::unread;
+}
+
+std::vector<run_over> endpoint_account::take_lapsed(time_point now)
+{
+    if (runs_.empty() || now <= leases_over_ || foreign_runs_ > 0)
+        return {};
+    return take_all();
+}
+
+std::optional<run_over> endpoint_account::remove(run_key const& key)
+{
+    auto const found = runs_.find(key);
+    if (found == runs_.end())
+        return std::nullopt;
+    return take(found, std::nullopt);
+}
+
+run_over endpoint_account::take(run_map::iterator place,
+                                std::optional<run_end> end)
+{
+    run_over over{place->first, std::move(place->second), end};
+    used_ -= over.run.need;
+    if (over.run.phase == run_phase::foreign)
+        --foreign_runs_;
+    runs_.erase(place);
+    return over;
+}
+
+std::vector<run_over> endpoint_account::take_all()
+{
+    std::vector<run_over> over;
+    while (!runs_.empty())
+        over.push_back(take(runs_.begin(), std::nullopt));
+    return over;
+}
+
+} // namespace masticshift::dispatch
--- /dev/null
+++ b/libs/dispatch/src/endpoint_calls.cpp
@@ -0,0 +1,31 @@
+#include <dispatch/endpoint_calls.hpp>
+
+#include <array>
+
+namespace masticshift::dispatch
+{
+
+namespace
+{
+
+constexpr std::array answer_names{
+    "accepted",  "outranked",      "run_too_old", "too_late",
+    "no_room",   "malformed",      "unhealthy",   "other_instance",
+    "not_sent",  "unanswered"};
+
+constexpr std::array end_names{"done", "failed", "stopped", "lapsed",
+                               "group_broken"};
+
+} // namespace
+
+char const* name_of(order_answer answer)
+{
+    return answer_names.at(static_cast<std::size_t>(answer));
+}
+
+char const* name_of(run_end end)
+{
+    return end_names.at(static_cast<std::size_t>(end));
+}
+
+} // namespace masticshift::dispatch
--- /dev/null
+++ b/libs/dispatch/src/endpoint_health.cpp
@@ -0,0 +1,58 @@
+#include <dispatch/endpoint_health.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace masticshift::dispatch
+{
+
+namespace
+{
+
+/// Twice the run time of the most frequent tasks of the deployments, 200 ms.
+constexpr milliseconds first_ejection{400};
+
+/// Some troubles of endpoints last five to seven seconds on the users' days.
+constexpr milliseconds longest_ejection{3'200};
+
+constexpr unsigned failures_until_ejection = 2;
+
+constexpr std::array trust_names{"full", "probation", "ejected"};
+
+} // namespace
+
+char const* name_of(endpoint_trust trust)
+{
+    return trust_names.at(static_cast<std::size_t>(trust));
+}
+
+endpoint_trust endpoint_health::trust(time_point now) const
+{
+    if (now < ejected_until_)
+        return endpoint_trust::ejected;
+    return failures_ == 0 ? endpoint_trust::full : endpoint_trust::probation;
+}
+
+void endpoint_health::succeeded()
+{
+    failures_ = 0;
+    ejected_until_ = {};
+}
+
+void endpoint_health::failed(time_point now)
+{
+    ++failures_;
+    if (failures_ < failures_until_ejection)
+        return;
+    auto const doublings = std::min(failures_ - failures_until_ejection, 8U);
+    auto const pause = std::min(first_ejection * (1 << doublings),
+                                milliseconds(longest_ejection));
+    ejected_until_ = now + pause;
+}
+
+unsigned endpoint_health::failures_in_a_row() const
+{
+    return failures_;
+}
+
+} // namespace masticshift::dispatch
--- /dev/null
+++ b/libs/dispatch/src/endpoint_registry.cpp
@@ -0,0 +1,103 @@
+#include <dispatch/endpoint_registry.hpp>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace masticshift::dispatch
+{
+
+namespace
+{
+
+/// Live endpoints are registered again within two seconds of the store's
+/// return.
+constexpr milliseconds gone_after{2'500};
+
+} // namespace
+
+void endpoint_registry::put(versioned_record updated)
+{
+    auto const id = updated.record.id;
+    auto const found = entries_.find(id);
+    if (found == entries_.end())
+    {
+        entries_.emplace(id, entry{std::move(updated), std::nullopt, true});
+        return;
+    }
+    auto& known = found->second;
+    // A read may be seconds behind.
+    if (updated.version < known.known.version)
+        return;
+    known.missing_since.reset();
+    if (!(updated.record == known.known.record))
+        known.changed = true;
+    known.known = std::move(updated);
+}
+
+void endpoint_registry::drop(std::string const& id, std::int64_t version,
+                             time_point now)
+{
+    auto const found = entries_.find(id);
+    if (found == entries_.end() || version < found->second.known.version)
+        return;
+    found->second.known.version = version;
+    if (!found->second.missing_since)
+        found->second.missing_since = now;
+}
+
+void endpoint_registry::replace(std::vector<versioned_record> entries,
+                                std::int64_t version, time_point now)
+{
+    std::set<std::string> present;
+    for (auto& each : entries)
+    {
+        present.insert(each.record.id);
+        put(std::move(each));
+    }
+    for (auto const& [id, known] : entries_)
+    {
+        if (!present.contains(id))
+            drop(id, version, now);
+    }
+}
+
+void endpoint_registry::note_read(bool succeeded, time_point now)
+{
+    if (!succeeded)
+        readable_since_.reset();
+    else if (!readable_since_)
+        readable_since_ = now;
+}
+
+registry_changes endpoint_registry::take_changes(time_point now)
+{
+    registry_changes changes;
+    for (auto each = entries_.begin(); each != entries_.end();)
+    {
+        auto& known = each->second;
+        bool const gone = known.missing_since && readable_since_ &&
+                          now - *known.missing_since > gone_after &&
+                          now - *readable_since_ > gone_after;
+        if (gone)
+        {
+            changes.removed.push_back(each->first);
+            each = entries_.erase(each);
+            continue;
+        }
+        if (std::exchange(known.changed, false))
+            changes.updated.push_back(known.known.record);
+        ++each;
+    }
+    return changes;
+}
+
+std::vector<endpoint_record> endpoint_registry::records() const
+{
+    std::vector<endpoint_record> all;
+    for (auto const& [id, known] : entries_)
+        all.push_back(known.known.record);
+    return all;
+}
+
+} // namespace masticshift::dispatch
--- /dev/null
+++ b/libs/dispatch/src/job.cpp
@@ -0,0 +1,30 @@
+#include <dispatch/job.hpp>
+
+#include <array>
+
+namespace masticshift::dispatch
+{
+
+namespace
+{
+
+constexpr std::array end_names{"completed", "failed", "refused", "unknown"};
+
+constexpr std::array reason_names{
+    "none",       "attempts_exhausted", "never_fits",
+    "overloaded", "withdrawn",          "superseded",
+    "not_dispatcher", "endpoint_lost",  "out_of_time"};
+
+} // namespace
+
+char const* name_of(job_end end)
+{
+    return end_names.at(static_cast<std::size_t>(end));
+}
+
+char const* name_of(end_reason reason)
+{
+    return reason_names.at(static_cast<std::size_t>(reason));
+}
+
+} // namespace masticshift::dispatch
--- /dev/null
+++ b/libs/dispatch/src/lease_clock.cpp
@@ -0,0 +1,48 @@
+#include <dispatch/lease_clock.hpp>
+
+namespace masticshift::dispatch
+{
+
+namespace
+{
+
+/// An endpoint's clock may run 2 % slow, and loses 2 % more to rounding and to
+/// the drift of this process's own clock.
+constexpr double slowest_rate = 0.96;
+
+} // namespace
+
+void lease_clock::observe(std::int64_t endpoint_ms, time_point received)
+{
+    // Answers may overtake each other: an older one says less.
+    if (!latest_ || endpoint_ms >= latest_->endpoint_ms)
+        latest_ = {endpoint_ms, received};
+}
+
+void lease_clock::reset()
+{
+    latest_.reset();
+}
+
+bool lease_clock::known() const
+{
+    return latest_.has_value();
+}
+
+std::int64_t lease_clock::lease_end(time_point now, milliseconds length) const
+{
+    auto const since =
+        std::chrono::duration_cast<milliseconds>(now - latest_->received);
+    return latest_->endpoint_ms + (since + length).count();
+}
+
+time_point lease_clock::passed(std::int64_t endpoint_ms) const
+{
+    auto const ahead =
+        static_cast<double>(endpoint_ms - latest_->endpoint_ms) / slowest_rate;
+    return latest_->received +
+           std::chrono::duration_cast<duration>(
+               std::chrono::duration<double, std::milli>(ahead));
+}
+
+} // namespace masticshift::dispatch
--- /dev/null
+++ b/libs/dispatch/src/placement_choice.hpp
@@ -0,0 +1,59 @@
+#ifndef MASTICSHIFT_DISPATCH_PLACEMENT_CHOICE_HPP
+#define MASTICSHIFT_DISPATCH_PLACEMENT_CHOICE_HPP
+
+#include "endpoint_account.hpp"
+
+#include <dispatch/speed_book.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace masticshift::dispatch
+{
+
+using account_ptr = std::unique_ptr<endpoint_account>;
+using account_map = std::map<std::string, account_ptr>;
+
+/// An endpoint for a task, and how long the task should take there.
+struct placement
+{
+    endpoint_account* endpoint = nullptr;
+    duration expected{0};
+};
+
+/// Chooses endpoints for tasks.
+class placement_choice
+{
+public:
+    placement_choice(account_map& accounts, speed_book const& speeds,
+                     double remote_factor)
+        : accounts_(accounts), speeds_(speeds), remote_factor_(remote_factor)
+    {
+    }
+
+    /// The endpoint with room on which the task ends soonest. Among those that
+    /// are about equally fast, the one whose room it fills best. Only
+    /// endpoints on which it ends before `finish_by`. Nothing when there is
+    /// none.
+    placement choose(job_state const& job, job_step const& step, int step_number,
+                     time_point finish_by, time_point now) const;
+
+    /// Whether some known endpoint could run the task if it were idle.
+    bool ever_fits(job_state const& job, job_step const& step) const;
+
+    duration expected_on(endpoint_account const& account, job_state const& job,
+                         job_step const& step) const;
+
+private:
+    bool admits(endpoint_account const& account, job_state const& job,
+                job_step const& step, int step_number, time_point now) const;
+
+    account_map& accounts_;
+    speed_book const& speeds_;
+    double remote_factor_;
+};
+
+} // namespace masticshift::dispatch
+
+#endif
--- /dev/null
+++ b/libs/gateway/src/endpoint_io.cpp
@@ -0,0 +1,156 @@
+#include "dispatch_host.hpp"
+
+#include <core/log.hpp>
+#include <platform/run_codec.hpp>
+
+namespace masticshift::gateway
+{
+
+namespace
+{
+
+/// Endpoints answer orders within a millisecond. An order without an answer is
+/// stopped, which is worth more the earlier it is done.
+constexpr milliseconds order_timeout{150};
+
+/// A list answers when its wait is over.
+constexpr milliseconds list_timeout{150};
+
+/// Pause between two reads of an endpoint that has nothing to tell, ended by
+/// the first order.
+constexpr milliseconds idle_pause{2'000};
+
+/// Pause after a failed read.
+constexpr milliseconds retry_pause{100};
+
+dispatch::order_answer answer_of(transport::call_failure const& failed)
+{
+    return failed.stage == transport::call_stage::written
+               ? dispatch::order_answer::unanswered
+               : dispatch::order_answer::not_sent;
+}
+
+} // namespace
+
+asio::awaitable<void> dispatch_host::watch_endpoint(dispatch_host& self,
+                                                    std::string endpoint,
+                                                    std::uint64_t term)
+{
+    while (self.term_ == term && self.loops_.contains(endpoint))
+    {
+        auto const order =
+            self.dispatcher_->next_list(endpoint, steady_clock::now());
+        auto wait = idle_pause;
+        if (order)
+        {
+            if (co_await self.read_list(endpoint, *order, term))
+                continue;
+            wait = retry_pause;
+        }
+        if (self.term_ != term)
+            co_return;
+        auto const found = self.loops_.find(endpoint);
+        if (found == self.loops_.end())
+            co_return;
+        found->second->wake.expires_after(wait);
+        co_await found->second->wake.async_wait(as_values);
+    }
+}
+
+asio::awaitable<bool> dispatch_host::read_list(std::string endpoint,
+                                               dispatch::list_order order,
+                                               std::uint64_t term)
+{
+    auto const record = records_.find(endpoint);
+    if (record == records_.end())
+        co_return false;
+    auto const ip = record->second.ip;
+    auto const port = record->second.port;
+    auto const sent = steady_clock::now();
+    state_.metrics.lists.add();
+    auto request = platform::encode_list(order, endpoint);
+    auto const result = co_await endpoints_.call(
+        ip, port, std::move(request), sent + order.wait + list_timeout);
+    if (term_ != term)
+        co_return false;
+    auto const now = steady_clock::now();
+    auto answer = dispatch::order_answer::unanswered;
+    if (result)
+    {
+        answer = platform::decode_endpoint_answer(*result).answer;
+        std::size_t skipped = 0;
+        auto const decoded = platform::decode_list(*result, skipped);
+        if (skipped > 0)
+            log_event(log_level::warning, "list_entries_skipped",
+                      {{"endpoint", endpoint}, {"entries", skipped}});
+        if (answer == dispatch::order_answer::accepted && decoded)
+        {
+            dispatcher_->list_answered(endpoint, order, decoded->list,
+                                       decoded->clock, sent, now);
+            flush();
+            co_return true;
+        }
+    }
+    else
+    {
+        answer = answer_of(result.error());
+        state_.metrics.unanswered.add();
+        endpoints_.drop_kept(ip, port);
+    }
+    dispatcher_->list_failed(endpoint, answer, now);
+    flush();
+    co_return false;
+}
+
+asio::awaitable<void> dispatch_host::send_start(dispatch_host& self,
+                                                dispatch::start_order order,
+                                                std::uint64_t term)
+{
+    auto const record = self.records_.find(order.endpoint);
+    platform::endpoint_answer answer{dispatch::order_answer::not_sent, {}};
+    if (record != self.records_.end())
+    {
+        auto const ip = record->second.ip;
+        auto const port = record->second.port;
+        auto request = platform::encode_start(order, order.endpoint);
+        auto const result = co_await self.endpoints_.call(
+            ip, port, std::move(request), steady_clock::now() + order_timeout);
+        if (result)
+        {
+            answer = platform::decode_endpoint_answer(*result);
+        }
+        else
+        {
+            answer.answer = answer_of(result.error());
+            self.state_.metrics.unanswered.add();
+            self.endpoints_.drop_kept(ip, port);
+        }
+    }
+    if (self.term_ != term)
+        co_return;
+    self.dispatcher_->start_answered(order, answer.answer, answer.clock,
+                                     steady_clock::now());
+    self.flush();
+}
+
+asio::awaitable<void> dispatch_host::send_stop(dispatch_host& self,
+                                               dispatch::stop_order order,
+                                               std::uint64_t term)
+{
+    auto const record = self.records_.find(order.endpoint);
+    if (record == self.records_.end())
+        co_return;
+    auto request = platform::encode_stop(order, order.endpoint);
+    auto const result = co_await self.endpoints_.call(
+        record->second.ip, record->second.port, std::move(request),
+        steady_clock::now() + order_timeout);
+    if (self.term_ != term)
+        co_return;
+    auto const answer =
+        result ? platform::decode_endpoint_answer(*result).answer
+               : answer_of(result.error());
+    self.dispatcher_->stop_answered(order, answer, steady_clock::now());
+    self.flush();
+}
+
+} // namespace masticshift::gateway
--- /dev/null
+++ b/libs/gateway/src/endpoint_watch.cpp
@@ -0,0 +1,131 @@
+#include "endpoint_watch.hpp"
+
+#include <core/log.hpp>
+#include <platform/endpoint_codec.hpp>
+
+namespace masticshift::gateway
+{
+
+namespace
+{
+
+/// Answers of the store take 4 ms, and 60 times as long on bad days.
+constexpr milliseconds read_timeout{500};
+
+/// Endpoints must get no new work two seconds after they report that they
+/// drain. Each read costs as much as it has changes, since every endpoint
+/// writes its row every 1.5 s.
+constexpr milliseconds close_interval{400};
+
+/// Endpoints come and go seldom; the one that follows a dispatcher reads at
+/// once.
+constexpr milliseconds loose_interval{4'000};
+
+/// How often to look whether this entry has begun to dispatch.
+constexpr milliseconds role_interval{200};
+
+} // namespace
+
+std::optional<dispatch::versioned_record>
+endpoint_watch::decode(platform::store_row const& row)
+{
+    auto record = platform::decode_endpoint(row.key, row.value);
+    if (record)
+    {
+        malformed_.erase(row.key);
+        return dispatch::versioned_record{std::move(*record), row.version};
+    }
+    if (malformed_.insert(row.key).second)
+        log_event(log_level::warning, "endpoint_skipped",
+                  {{"endpoint", row.key},
+                   {"code", static_cast<int>(record.error().code)},
+                   {"detail", record.error().detail}});
+    return std::nullopt;
+}
+
+void endpoint_watch::take_row(platform::store_row const& row, time_point now)
+{
+    if (!row.removed)
+    {
+        if (auto entry = decode(row))
+        {
+            state_.registry.put(std::move(*entry));
+            return;
+        }
+    }
+    state_.registry.drop(row.key, row.version, now);
+}
+
+asio::awaitable<bool> endpoint_watch::read_whole()
+{
+    std::vector<dispatch::versioned_record> entries;
+    std::string from;
+    std::int64_t version = 0;
+    bool more = true;
+    while (more)
+    {
+        bool history_gone = false;
+        auto request = platform::encode_read(platform::endpoint_table, from);
+        auto const rows = co_await store_.read(std::move(request), read_timeout,
+                                               history_gone);
+        if (!rows)
+            co_return false;
+        version = version == 0 ? rows->version : version;
+        more = rows->has_more && !rows->rows.empty();
+        for (auto const& row : rows->rows)
+        {
+            if (auto entry = decode(row))
+                entries.push_back(std::move(*entry));
+        }
+        // A key and a zero byte is the next key in byte order.
+        if (more)
+            from = rows->rows.back().key + '\0';
+    }
+    state_.registry.replace(std::move(entries), version, steady_clock::now());
+    seen_ = version;
+    co_return true;
+}
+
+asio::awaitable<bool> endpoint_watch::read_changes()
+{
+    bool history_gone = false;
+    auto request = platform::encode_watch(platform::endpoint_table, seen_,
+                                          milliseconds(0));
+    auto const rows =
+        co_await store_.read(std::move(request), read_timeout, history_gone);
+    if (history_gone)
+        whole_ = true;
+    if (!rows)
+        co_return history_gone;
+    auto const now = steady_clock::now();
+    for (auto const& row : rows->rows)
+        take_row(row, now);
+    seen_ = std::max(seen_, rows->version);
+    co_return true;
+}
+
+asio::awaitable<void> endpoint_watch::run()
+{
+    for (;;)
+    {
+        bool const close = dispatching_();
+        bool read = false;
+        if (whole_ || !close)
+        {
+            read = co_await read_whole();
+            whole_ = !read;
+        }
+        else
+        {
+            read = co_await read_changes();
+        }
+        state_.registry.note_read(read, steady_clock::now());
+        auto const interval = close || !read ? close_interval : loose_interval;
+        auto const next = steady_clock::now() + interval;
+        while (steady_clock::now() < next && dispatching_() == close)
+            co_await pause(std::min<duration>(role_interval,
+                                              next - steady_clock::now()));
+    }
+}
+
+} // namespace masticshift::gateway
--- /dev/null
+++ b/libs/gateway/src/gateway.cpp
@@ -0,0 +1,358 @@
+#include <gateway/gateway.hpp>
+
+#include "configuration_watch.hpp"
+#include "endpoint_watch.hpp"
+#include "job_desk.hpp"
+#include "peer_exchange.hpp"
+
+#include <core/log.hpp>
+#include <daemon/supervisor.hpp>
+#include <peer_link/peer_server.hpp>
+#include <transport/http_server.hpp>
+
+#include <chrono>
+#include <optional>
+
+namespace masticshift::gateway
+{
+
+namespace
+{
+
+/// Waiting log lines are written this often.
+constexpr milliseconds log_interval{50};
+
+/// The balancer sends no new connections after two missed checks, one a
+/// second.
+constexpr milliseconds balancer_time{2'500};
+
+/// A drain ends this long before the process would be killed.
+constexpr milliseconds grace_margin{500};
+
+constexpr milliseconds drain_interval{50};
+
+/// Connections to endpoints are kept, as each new one is paid for.
+constexpr milliseconds endpoint_idle{120'000};
+constexpr milliseconds endpoint_connect{150};
+constexpr milliseconds endpoint_unacknowledged{1'000};
+
+constexpr milliseconds store_idle{30'000};
+
+/// Limits of the links between entries. A silent link has to be found before
+/// callers send their jobs again.
+constexpr milliseconds peer_silence{450};
+constexpr milliseconds peer_connect{200};
+constexpr milliseconds peer_backoff{20};
+constexpr milliseconds peer_longest_backoff{300};
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_unavailable = 503;
+
+std::int64_t unix_microseconds()
+{
+    auto const now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::microseconds>(now).count();
+}
+
+dispatch::entry_identity
+identity_of(config::gateway_identity const& settings)
+{
+    constexpr double thousandths = 1'000;
+    return {config::to_string(settings.peer_address), unix_microseconds(),
+            settings.data_centre,
+            static_cast<int>(settings.processors * thousandths)};
+}
+
+transport::http_client_limits endpoint_client_limits()
+{
+    transport::http_client_limits limits;
+    limits.connect = endpoint_connect;
+    limits.idle = endpoint_idle;
+    limits.unacknowledged = endpoint_unacknowledged;
+    return limits;
+}
+
+transport::http_client_limits store_client_limits()
+{
+    transport::http_client_limits limits;
+    limits.connect = endpoint_connect;
+    limits.idle = store_idle;
+    limits.unacknowledged = endpoint_unacknowledged;
+    return limits;
+}
+
+peer_link::peer_client_limits peer_client_limits()
+{
+    peer_link::peer_client_limits limits;
+    limits.connect = peer_connect;
+    limits.silence = peer_silence;
+    limits.first_backoff = peer_backoff;
+    limits.longest_backoff = peer_longest_backoff;
+    limits.unacknowledged = endpoint_unacknowledged;
+    return limits;
+}
+
+transport::http_response plain_response(unsigned status, std::string body)
+{
+    transport::http_response response;
+    response.status = status;
+    response.body = std::move(body);
+    return response;
+}
+
+transport::http_response error_response(failure const& error)
+{
+    log_event(log_level::info, "call_malformed",
+              {{"code", static_cast<int>(error.code)},
+               {"detail", error.detail}});
+    return plain_response(info_of(error.code).http_status, "{}");
+}
+
+} // namespace
+
+class gateway::impl
+{
+public:
+    impl(asio::any_io_executor executor, config::gateway_settings settings)
+        : executor_(std::move(executor)),
+          state_(settings, identity_of(settings.gateway), steady_clock::now()),
+          endpoint_client_(executor_, endpoint_client_limits()),
+          store_client_(executor_, store_client_limits()),
+          peer_client_(
+              executor_, peer_client_limits(),
+              static_cast<std::uint64_t>(state_.roster.self().incarnation)),
+          store_(state_, store_client_, peer_client_),
+          host_(state_, endpoint_client_, peer_client_),
+          exchange_(state_, peer_client_, host_, store_),
+          desk_(state_, peer_client_, host_),
+          configuration_(state_, store_, peer_client_),
+          endpoints_(state_, store_,
+                     [this]
+                     {
+                         return host_.active();
+                     }),
+          peer_server_(executor_, {},
+                       [this](wire::message call)
+                       {
+                           return exchange_.answer(std::move(call));
+                       }),
+          caller_server_(executor_, {},
+                         [this](transport::http_request request)
+                         {
+                             return answer_caller(std::move(request));
+                         },
+                         error_response),
+          ready_server_(executor_, {},
+                        [this](transport::http_request)
+                        {
+                            return answer_ready();
+                        },
+                        error_response),
+          metrics_server_(executor_, {},
+                          [this](transport::http_request request)
+                          {
+                              return answer_metrics(std::move(request));
+                          },
+                          error_response),
+          loops_(executor_, "gateway")
+    {
+    }
+
+    outcome<void> start(std::function<void()> stopped)
+    {
+        stopped_ = std::move(stopped);
+        auto const& own = state_.settings.gateway;
+        auto listening =
+            peer_server_.listen(own.peer_address.ip, own.peer_address.port);
+        if (listening)
+            listening = caller_server_.listen(own.caller_address.ip,
+                                              own.caller_address.port);
+        if (listening)
+            listening = ready_server_.listen(own.ready_address.ip,
+                                             own.ready_address.port);
+        if (listening && !own.metrics_address.ip.empty())
+            listening = metrics_server_.listen(own.metrics_address.ip,
+                                               own.metrics_address.port);
+        if (!listening)
+            return listening;
+        add_loops();
+        log_event(log_level::info, "started",
+                  {{"name", own.name},
+                   {"data_centre", own.data_centre},
+                   {"incarnation", state_.roster.self().incarnation}});
+        return {};
+    }
+
+    void drain()
+    {
+        if (std::exchange(state_.leaving, true))
+            return;
+        state_.roster.set_leaving();
+        log_event(log_level::info, "drain_begun",
+                  {{"open_jobs", desk_.open_jobs()}});
+        asio::co_spawn(executor_, finish(), asio::detached);
+    }
+
+    void reload(config::gateway_settings settings)
+    {
+        for (auto const& seed : settings.seeds)
+            state_.roster.add_candidate(config::to_string(seed));
+        state_.settings.seeds = settings.seeds;
+        state_.settings.store_address = settings.store_address;
+        log_event(log_level::info, "reloaded",
+                  {{"store", config::to_string(settings.store_address)}});
+    }
+
+private:
+    void add_loops()
+    {
+        auto& platform = loops_.add_supervisor("platform");
+        platform.add("configuration",
+                     [this]
+                     {
+                         return configuration_.follow_store();
+                     });
+        platform.add("endpoints",
+                     [this]
+                     {
+                         return endpoints_.run();
+                     });
+        platform.add("registration",
+                     [this]
+                     {
+                         return exchange_.register_entry();
+                     });
+        auto& peers = loops_.add_supervisor("peers");
+        peers.add("signs_of_life",
+                  [this]
+                  {
+                      return exchange_.run();
+                  });
+        peers.add("configuration",
+                  [this]
+                  {
+                      return configuration_.follow_peers();
+                  });
+        loops_.add("dispatch",
+                   [this]
+                   {
+                       return host_.run();
+                   });
+        loops_.add("log",
+                   []
+                   {
+                       return write_log();
+                   });
+    }
+
+    static asio::awaitable<void> write_log()
+    {
+        for (;;)
+        {
+            flush_log();
+            co_await pause(log_interval);
+        }
+    }
+
+    asio::awaitable<std::optional<transport::http_response>>
+    answer_caller(transport::http_request request)
+    {
+        auto response = co_await desk_.answer(std::move(request));
+        if (state_.leaving)
+            response.fields.set("Connection", "close");
+        co_return response;
+    }
+
+    bool is_ready() const
+    {
+        return !state_.leaving && state_.configuration_version != 0 &&
+               state_.roster.dispatcher(steady_clock::now()).has_value();
+    }
+
+    asio::awaitable<std::optional<transport::http_response>> answer_ready()
+    {
+        bool const ready = is_ready();
+        if (std::exchange(was_ready_, ready) != ready)
+            log_event(log_level::info, ready ? "ready" : "not_ready",
+                      {{"version", state_.configuration_version},
+                       {"leaving", state_.leaving}});
+        co_return plain_response(ready ? status_ok : status_unavailable, "");
+    }
+
+    asio::awaitable<std::optional<transport::http_response>>
+    answer_metrics(transport::http_request)
+    {
+        auto response =
+            plain_response(status_ok, state_.metrics.registry.render());
+        response.fields.set("Content-Type", "text/plain; version=0.0.4");
+        co_return response;
+    }
+
+    asio::awaitable<void> finish()
+    {
+        auto const begun = steady_clock::now();
+        auto const grace = state_.settings.bounds.grace;
+        auto const limit = begun + std::max(grace - grace_margin, grace / 2);
+        co_await exchange_.unregister_entry();
+        for (;;)
+        {
+            co_await pause(drain_interval);
+            auto const now = steady_clock::now();
+            bool const idle = !host_.active() && desk_.open_jobs() == 0 &&
+                              now - begun > balancer_time;
+            if (idle || now >= limit)
+                break;
+        }
+        caller_server_.close_gracefully();
+        co_await pause(drain_interval);
+        log_event(log_level::info, "stopped",
+                  {{"open_jobs", desk_.open_jobs()},
+                   {"dropped_log_lines", dropped_log_lines()}});
+        flush_log();
+        stopped_();
+    }
+
+    asio::any_io_executor executor_;
+    shared_state state_;
+    transport::http_client endpoint_client_;
+    transport::http_client store_client_;
+    peer_link::peer_client peer_client_;
+    store_reader store_;
+    dispatch_host host_;
+    peer_exchange exchange_;
+    job_desk desk_;
+    configuration_watch configuration_;
+    endpoint_watch endpoints_;
+    peer_link::peer_server peer_server_;
+    transport::http_server caller_server_;
+    transport::http_server ready_server_;
+    transport::http_server metrics_server_;
+    daemon::supervisor loops_;
+    std::function<void()> stopped_;
+    bool was_ready_ = false;
+};
+
+gateway::gateway(asio::any_io_executor executor,
+                 config::gateway_settings settings)
+    : impl_(std::make_unique<impl>(std::move(executor), std::move(settings)))
+{
+}
+
+gateway::~gateway() = default;
+
+outcome<void> gateway::start(std::function<void()> stopped)
+{
+    return impl_->start(std::move(stopped));
+}
+
+void gateway::drain()
+{
+    impl_->drain();
+}
+
+void gateway::reload(config::gateway_settings settings)
+{
+    impl_->reload(std::move(settings));
+}
+
+} // namespace masticshift::gateway
--- /dev/null
+++ b/libs/gateway/src/gateway_metrics.hpp
@@ -0,0 +1,61 @@
+#ifndef MASTICSHIFT_GATEWAY_GATEWAY_METRICS_HPP
+#define MASTICSHIFT_GATEWAY_GATEWAY_METRICS_HPP
+
+#include <dispatch/job.hpp>
+#include <metrics/registry.hpp>
+
+#include <string>
+
+namespace masticshift::gateway
+{
+
+/// Counters and histograms of a gateway.
+struct gateway_metrics
+{
+    metrics::registry registry;
+
+    metrics::counter& jobs(dispatch::job_end end)
+    {
+        return registry.get_counter("masticshift_jobs_total",
+                                    "Jobs answered, by how they ended",
+                                    {{"end", dispatch::name_of(end)}});
+    }
+
+    metrics::latency_histogram& job_seconds = registry.get_histogram(
+        "masticshift_job_seconds", "Time from a job's arrival to its answer");
+    metrics::counter& rejected_calls = registry.get_counter(
+        "masticshift_rejected_calls_total",
+        "Calls of callers that were answered without a job");
+    metrics::counter& callers_gone = registry.get_counter(
+        "masticshift_callers_gone_total",
+        "Callers that closed their connection before the answer");
+    metrics::counter& starts = registry.get_counter(
+        "masticshift_starts_total", "Start orders sent to endpoints");
+    metrics::counter& stops = registry.get_counter(
+        "masticshift_stops_total", "Stop orders sent to endpoints");
+    metrics::counter& lists = registry.get_counter(
+        "masticshift_lists_total", "Run lists read from endpoints");
+    metrics::counter& unanswered = registry.get_counter(
+        "masticshift_unanswered_orders_total",
+        "Calls to endpoints that got no answer");
+    metrics::counter& store_calls = registry.get_counter(
+        "masticshift_store_calls_total", "Calls to the platform's store");
+    metrics::counter& store_failures = registry.get_counter(
+        "masticshift_store_failures_total",
+        "Calls to the platform's store that failed");
+    metrics::counter& relayed_reads = registry.get_counter(
+        "masticshift_relayed_reads_total",
+        "Reads of the store that a peer has done for this entry");
+    metrics::gauge& live_peers = registry.get_gauge(
+        "masticshift_live_peers", "Entries heard of lately");
+    metrics::gauge& endpoints = registry.get_gauge(
+        "masticshift_endpoints", "Endpoints that this entry can place on");
+    metrics::gauge& waiting_tasks = registry.get_gauge(
+        "masticshift_waiting_tasks", "Tasks that wait for room");
+    metrics::gauge& runs = registry.get_gauge(
+        "masticshift_runs", "Runs that this entry keeps the lease of");
+};
+
+} // namespace masticshift::gateway
+
+#endif
--- /dev/null
+++ b/libs/gateway/src/job_desk.cpp
@@ -0,0 +1,233 @@
+#include "job_desk.hpp"
+
+#include "peer_wire.hpp"
+
+#include <core/log.hpp>
+
+namespace masticshift::gateway
+{
+
+namespace
+{
+
+/// A job waits this long for a dispatcher to be there. A new one is there
+/// within 600 ms; a quarter of the longest objectives, 1,500 ms, is less.
+constexpr milliseconds dispatcher_wait{350};
+constexpr milliseconds dispatcher_pause{20};
+
+/// When to come back while nobody dispatches.
+constexpr milliseconds no_dispatcher_retry{1'000};
+
+/// The dispatcher ends a job when its caller's patience is over. Its answer
+/// has this much longer to arrive.
+constexpr milliseconds answer_margin{500};
+
+/// A withdrawal is sent again until it is answered: what runs has to be over
+/// before the caller sends the job again, after 1,300 ms.
+constexpr int withdrawal_tries = 6;
+constexpr milliseconds withdrawal_timeout{150};
+
+} // namespace
+
+struct job_desk::submission
+{
+    dispatch::job_spec job;
+    time_point accepted;
+    /// Entry that may have the job.
+    std::string dispatcher;
+    bool gone = false;
+};
+
+transport::http_response
+job_desk::reject(transport::http_response response,
+                 platform::caller_request const& call, result_code reason,
+                 std::string const& detail)
+{
+    state_.metrics.rejected_calls.add();
+    log_event(log_level::info, "call_rejected",
+              {{"path", call.path},
+               {"status", response.status},
+               {"code", static_cast<int>(reason)},
+               {"version", state_.configuration_version},
+               {"detail", detail}});
+    return response;
+}
+
+asio::awaitable<transport::http_response>
+job_desk::answer(transport::http_request request)
+{
+    constexpr unsigned unavailable = 503;
+    constexpr unsigned bad_request = 400;
+    constexpr unsigned not_allowed = 405;
+    auto const call = platform::decode_caller_request(request);
+    if (state_.configuration_version == 0)
+        co_return reject(
+            platform::encode_refusal(unavailable, no_dispatcher_retry), call,
+            result_code::not_ready, "no configuration");
+    auto const* const found = state_.queues.find(call.host, call.path);
+    if (found == nullptr)
+        co_return reject(platform::encode_no_such_queue(), call,
+                         result_code::path_not_found, "no such queue");
+    // The index may be replaced while the job waits.
+    auto const queue = *found;
+    switch (call.call)
+    {
+    case platform::caller_call::submit:
+        if (platform::job_id_of(call.path, queue.path_prefix).empty())
+            co_return reject(
+                platform::encode_refusal(bad_request, milliseconds(0)), call,
+                result_code::id_malformed, "not a job id");
+        co_return co_await submit(std::move(request), call, queue);
+    case platform::caller_call::count_waiting:
+        // A job is accepted with its end here, so that none waits.
+        co_return platform::encode_waiting_count(0);
+    case platform::caller_call::read_state:
+    case platform::caller_call::cancel:
+        co_return reject(platform::encode_no_such_job(), call,
+                         result_code::unknown_id, "no stored jobs");
+    case platform::caller_call::other:
+        break;
+    }
+    co_return reject(platform::encode_refusal(not_allowed, milliseconds(0)),
+                     call, result_code::method_not_allowed, "");
+}
+
+asio::awaitable<transport::http_response>
+job_desk::submit(transport::http_request request,
+                 platform::caller_request const& call,
+                 dispatch::queue_settings const& queue)
+{
+    constexpr unsigned bad_request = 400;
+    constexpr unsigned unavailable = 503;
+    auto decoded = platform::decode_job(
+        request.body, platform::job_id_of(call.path, queue.path_prefix), queue,
+        call.patience);
+    if (!decoded)
+    {
+        auto const code = decoded.error().code;
+        auto const status =
+            code == result_code::unsupported_job ? unavailable : bad_request;
+        co_return reject(platform::encode_refusal(status, no_dispatcher_retry),
+                         call, code, decoded.error().detail);
+    }
+    auto const job = std::make_shared<submission>();
+    job->job = std::move(*decoded);
+    job->accepted = steady_clock::now();
+    if (request.caller)
+        request.caller->on_gone(
+            [this, job]
+            {
+                caller_gone(job);
+            });
+    ++open_jobs_;
+    auto const result = co_await dispatch(job);
+    --open_jobs_;
+    auto const taken = steady_clock::now() - job->accepted;
+    state_.metrics.jobs(result.end).add();
+    state_.metrics.job_seconds.observe(taken);
+    log_event(log_level::info, "job_answered",
+              {{"job", job->job.id},
+               {"queue", job->job.queue},
+               {"version", state_.configuration_version},
+               {"dispatcher", job->dispatcher},
+               {"end", dispatch::name_of(result.end)},
+               {"reason", dispatch::name_of(result.reason)},
+               {"caller_gone", job->gone},
+               {"ms", to_milliseconds(taken)}});
+    co_return platform::encode_job_end(result);
+}
+
+asio::awaitable<dispatch::job_result> job_desk::dispatch(submission_ptr job)
+{
+    dispatch::job_result none{dispatch::job_end::refused,
+                              dispatch::end_reason::not_dispatcher,
+                              no_dispatcher_retry};
+    while (!job->gone)
+    {
+        auto const now = steady_clock::now();
+        auto const dispatcher = state_.roster.dispatcher(now);
+        if (dispatcher)
+        {
+            job->dispatcher = *dispatcher;
+            auto const result = co_await call_dispatcher(job);
+            bool const elsewhere =
+                result.end == dispatch::job_end::refused &&
+                result.reason == dispatch::end_reason::not_dispatcher;
+            if (!elsewhere)
+                co_return result;
+        }
+        if (steady_clock::now() - job->accepted > dispatcher_wait)
+            co_return none;
+        co_await pause(dispatcher_pause);
+    }
+    co_return none;
+}
+
+asio::awaitable<dispatch::job_result>
+job_desk::call_dispatcher(submission_ptr job)
+{
+    auto const& self = state_.roster.self();
+    if (job->dispatcher == self.address)
+        co_return co_await host_.run_job(job->job, self);
+    auto message = peer_link::make_message(to_wire(job->job, self));
+    auto const result = co_await call_peer(
+        peers_, job->dispatcher, std::move(message),
+        job->accepted + job->job.patience + answer_margin);
+    if (result)
+        co_return from_wire(result->dispatch_answer);
+    if (!result.error().sent)
+        co_return dispatch::job_result{dispatch::job_end::refused,
+                                       dispatch::end_reason::not_dispatcher,
+                                       no_dispatcher_retry};
+    log_event(log_level::warning, "dispatcher_lost_job",
+              {{"job", job->job.id},
+               {"dispatcher", job->dispatcher},
+               {"detail", result.error().error.detail}});
+    withdraw(job->dispatcher, job->job.id);
+    co_return dispatch::job_result{dispatch::job_end::unknown,
+                                   dispatch::end_reason::endpoint_lost};
+}
+
+void job_desk::caller_gone(submission_ptr const& job)
+{
+    state_.metrics.callers_gone.add();
+    job->gone = true;
+    if (!job->dispatcher.empty())
+        withdraw(job->dispatcher, job->job.id);
+}
+
+void job_desk::withdraw(std::string const& dispatcher, std::string const& id)
+{
+    if (dispatcher == state_.roster.self().address)
+    {
+        host_.withdraw(id, state_.roster.self());
+        return;
+    }
+    asio::co_spawn(host_.executor(), send_withdrawal(*this, dispatcher, id),
+                   asio::detached);
+}
+
+asio::awaitable<void> job_desk::send_withdrawal(job_desk& self,
+                                                std::string dispatcher,
+                                                std::string id)
+{
+    for (int tried = 0; tried < withdrawal_tries; ++tried)
+    {
+        wire::withdraw_job content;
+        content.id = id;
+        content.origin = to_wire(self.state_.roster.self());
+        auto message = peer_link::make_message(std::move(content));
+        auto const until = steady_clock::now() + withdrawal_timeout;
+        auto const result = co_await call_peer(self.peers_, dispatcher,
+                                               std::move(message), until);
+        if (result)
+            co_return;
+        if (steady_clock::now() < until)
+            co_await pause(until - steady_clock::now());
+    }
+    // The dispatcher stops the jobs of an entry that it does not hear from.
+    log_event(log_level::warning, "withdrawal_unanswered",
+              {{"job", id}, {"dispatcher", dispatcher}});
+}
+
+} // namespace masticshift::gateway
--- /dev/null
+++ b/libs/gateway/src/job_desk.hpp
@@ -0,0 +1,61 @@
+#ifndef MASTICSHIFT_GATEWAY_JOB_DESK_HPP
+#define MASTICSHIFT_GATEWAY_JOB_DESK_HPP
+
+#include "dispatch_host.hpp"
+
+#include <platform/job_codec.hpp>
+#include <transport/http_message.hpp>
+
+#include <memory>
+
+namespace masticshift::gateway
+{
+
+/// Answers callers: takes their jobs to the dispatcher and its answers back.
+class job_desk
+{
+public:
+    job_desk(shared_state& state, peer_link::peer_client& peers,
+             dispatch_host& host)
+        : state_(state), peers_(peers), host_(host)
+    {
+    }
+
+    asio::awaitable<transport::http_response>
+    answer(transport::http_request request);
+
+    /// Jobs whose callers wait for an answer.
+    std::size_t open_jobs() const
+    {
+        return open_jobs_;
+    }
+
+private:
+    struct submission;
+    using submission_ptr = std::shared_ptr<submission>;
+
+    asio::awaitable<transport::http_response>
+    submit(transport::http_request request,
+           platform::caller_request const& call,
+           dispatch::queue_settings const& queue);
+    asio::awaitable<dispatch::job_result> dispatch(submission_ptr job);
+    asio::awaitable<dispatch::job_result> call_dispatcher(submission_ptr job);
+    void caller_gone(submission_ptr const& job);
+    static asio::awaitable<void> send_withdrawal(job_desk& self,
+                                                 std::string dispatcher,
+                                                 std::string id);
+    void withdraw(std::string const& dispatcher, std::string const& id);
+    transport::http_response reject(transport::http_response response,
+                                    platform::caller_request const& call,
+                                    result_code reason,
+                                    std::string const& detail);
+
+    shared_state& state_;
+    peer_link::peer_client& peers_;
+    dispatch_host& host_;
+    std::size_t open_jobs_ = 0;
+};
+
+} // namespace masticshift::gateway
+
+#endif
--- /dev/null
+++ b/libs/gateway/src/peer_exchange.cpp
@@ -0,0 +1,196 @@
+#include "peer_exchange.hpp"
+
+#include "peer_wire.hpp"
+
+#include <core/log.hpp>
+
+namespace masticshift::gateway
+{
+
+namespace
+{
+
+/// A peer counts as dead after 450 ms without a sign of life.
+constexpr milliseconds sign_interval{100};
+constexpr milliseconds sign_timeout{350};
+
+/// Two connections in a row that were refused: nobody listens there.
+constexpr int refusals_until_dead = 2;
+
+constexpr std::string_view entry_table = "entries";
+constexpr milliseconds store_timeout{500};
+constexpr milliseconds store_pause{500};
+
+/// Entries tell each other of the others, so that the table is read seldom.
+constexpr milliseconds learn_interval{10'000};
+
+} // namespace
+
+asio::awaitable<void> peer_exchange::run()
+{
+    auto const executor = co_await asio::this_coro::executor;
+    for (auto const& seed : state_.settings.seeds)
+        state_.roster.add_candidate(config::to_string(seed));
+    for (;;)
+    {
+        for (auto const& peer : state_.roster.targets(steady_clock::now()))
+            asio::co_spawn(executor, send_sign(*this, peer), asio::detached);
+        co_await pause(sign_interval);
+    }
+}
+
+asio::awaitable<void> peer_exchange::send_sign(peer_exchange& self,
+                                               std::string peer)
+{
+    auto const now = steady_clock::now();
+    auto message = peer_link::make_message(
+        to_wire(self.state_.roster.own_sign(now)));
+    auto const result = co_await call_peer(self.peers_, peer,
+                                           std::move(message),
+                                           now + sign_timeout);
+    if (result)
+    {
+        self.refusals_.erase(peer);
+        self.state_.roster.heard(from_wire(result->pulse_answer.beat),
+                                 steady_clock::now());
+        co_return;
+    }
+    bool const refused =
+        !result.error().sent &&
+        result.error().error.code == result_code::peer_unreachable;
+    if (refused && ++self.refusals_[peer] >= refusals_until_dead)
+        self.state_.roster.refused(peer);
+}
+
+std::string peer_exchange::row_key() const
+{
+    return state_.roster.self().address;
+}
+
+asio::awaitable<bool> peer_exchange::learn_entries()
+{
+    bool history_gone = false;
+    auto request = platform::encode_read(entry_table, {});
+    auto const rows = co_await store_.read(std::move(request), store_timeout,
+                                           history_gone);
+    if (!rows)
+        co_return false;
+    for (auto const& row : rows->rows)
+    {
+        if (config::parse_socket_address(row.key))
+            state_.roster.add_candidate(row.key);
+    }
+    co_return true;
+}
+
+asio::awaitable<void> peer_exchange::register_entry()
+{
+    constexpr unsigned ok = 200;
+    bool written = false;
+    for (;;)
+    {
+        if (!written)
+        {
+            auto request = platform::encode_put(
+                entry_table, row_key(), state_.roster.self().data_centre);
+            auto const result =
+                co_await store_.call(std::move(request), store_timeout);
+            written = result && result->status == ok;
+        }
+        bool const learnt = co_await learn_entries();
+        co_await pause(written && learnt ? learn_interval : store_pause);
+    }
+}
+
+asio::awaitable<void> peer_exchange::unregister_entry()
+{
+    auto request = platform::encode_remove(entry_table, row_key());
+    auto const result =
+        co_await store_.call(std::move(request), store_timeout);
+    if (!result)
+        log_event(log_level::warning, "entry_not_unregistered",
+                  {{"detail", result.error().error.detail}});
+}
+
+asio::awaitable<wire::message> peer_exchange::answer(wire::message call)
+{
+    auto const now = steady_clock::now();
+    auto const kind = peer_link::kind_of(call);
+    using enum peer_link::message_kind;
+    switch (kind.value_or(probe_call))
+    {
+    case pulse_call:
+    {
+        state_.roster.heard(from_wire(call.pulse_call), now);
+        wire::pulse_reply reply;
+        reply.beat = to_wire(state_.roster.own_sign(now));
+        co_return peer_link::make_message(std::move(reply));
+    }
+    case dispatch_call:
+        co_return co_await answer_job(std::move(call.dispatch_call));
+    case withdraw_call:
+        host_.withdraw(call.withdraw_call.id,
+                       from_wire(call.withdraw_call.origin));
+        break;
+    case release_call:
+        host_.take_released(call.release_call.endpoints,
+                            call.release_call.last);
+        break;
+    case speeds_call:
+        for (auto const& row : call.speeds_call.speeds)
+            state_.learnt_speeds[row.vm] = row.speed;
+        break;
+    case relay_call:
+        co_return co_await answer_relay(std::move(call.relay_call));
+    case fetch_text_call:
+    {
+        wire::fetch_text_reply reply;
+        reply.revision = state_.configuration_version;
+        reply.text = state_.configuration_text;
+        co_return peer_link::make_message(std::move(reply));
+    }
+    default:
+    {
+        wire::refusal refusal;
+        refusal.code = static_cast<int>(result_code::peer_protocol);
+        refusal.detail = "a call that a gateway does not know";
+        co_return peer_link::make_message(std::move(refusal));
+    }
+    }
+    co_return peer_link::make_message(wire::acknowledgement{});
+}
+
+asio::awaitable<wire::message>
+peer_exchange::answer_job(wire::dispatch_job call)
+{
+    auto const origin = from_wire(call.origin);
+    auto job = from_wire(std::move(call));
+    if (!job)
+    {
+        wire::refusal refusal;
+        refusal.code = static_cast<int>(job.error().code);
+        refusal.detail = job.error().detail;
+        co_return peer_link::make_message(std::move(refusal));
+    }
+    auto const result = co_await host_.run_job(std::move(*job), origin);
+    co_return peer_link::make_message(to_wire(result));
+}
+
+asio::awaitable<wire::message>
+peer_exchange::answer_relay(wire::relay_read call)
+{
+    transport::http_request request;
+    request.target = std::move(call.target);
+    auto const result = co_await store_.call(std::move(request),
+                                             milliseconds(call.timeout_ms));
+    wire::relay_read_reply reply;
+    reply.status = 0;
+    if (result)
+    {
+        reply.status = static_cast<std::int32_t>(result->status);
+        reply.body = result->body;
+    }
+    co_return peer_link::make_message(std::move(reply));
+}
+
+} // namespace masticshift::gateway
--- /dev/null
+++ b/libs/gateway/src/peer_wire.cpp
@@ -0,0 +1,175 @@
+#include "peer_wire.hpp"
+
+namespace masticshift::gateway
+{
+
+namespace
+{
+
+wire::dispatch_step to_wire(dispatch::job_step const& step)
+{
+    wire::dispatch_step made;
+    made.task_count = step.task_count;
+    made.processor = step.need.processor;
+    made.memory_mb = step.need.memory_mb;
+    made.accelerators = step.need.accelerators;
+    made.estimate_ms = step.estimate.count();
+    made.required_label = step.required_label;
+    made.preferred_rack = step.preferred_rack;
+    made.max_per_endpoint = step.max_per_endpoint;
+    made.after.assign(step.after.begin(), step.after.end());
+    return made;
+}
+
+bool is_valid(wire::dispatch_step const& step, std::size_t number)
+{
+    constexpr std::int32_t most_tasks = 4'096;
+    if (step.task_count < 1 || step.task_count > most_tasks)
+        return false;
+    for (auto const earlier : step.after)
+    {
+        if (earlier < 0 || static_cast<std::size_t>(earlier) >= number)
+            return false;
+    }
+    return true;
+}
+
+dispatch::job_step from_wire(wire::dispatch_step const& step)
+{
+    dispatch::job_step made;
+    made.task_count = step.task_count;
+    made.need = {step.processor, step.memory_mb, step.accelerators};
+    made.estimate = milliseconds(step.estimate_ms);
+    made.required_label = step.required_label;
+    made.preferred_rack = step.preferred_rack;
+    made.max_per_endpoint = step.max_per_endpoint;
+    made.after.assign(step.after.begin(), step.after.end());
+    return made;
+}
+
+} // namespace
+
+wire::entry_record to_wire(dispatch::entry_identity const& entry)
+{
+    wire::entry_record made;
+    made.address = entry.address;
+    made.incarnation = entry.incarnation;
+    made.data_centre = entry.data_centre;
+    made.processor = entry.processor;
+    return made;
+}
+
+dispatch::entry_identity from_wire(wire::entry_record const& entry)
+{
+    return {entry.address, entry.incarnation, entry.data_centre,
+            entry.processor};
+}
+
+wire::pulse to_wire(dispatch::sign_of_life const& sign)
+{
+    wire::pulse made;
+    made.sender = to_wire(sign.sender);
+    made.leaving = sign.leaving;
+    if (sign.claim)
+    {
+        wire::dispatch_claim claim;
+        claim.token = sign.claim->token;
+        claim.endpoints = sign.claim->endpoints;
+        claim.retiring = sign.claim->retiring;
+        made.__set_claim(claim);
+    }
+    made.configuration_version = sign.configuration_version;
+    made.highest_token = sign.highest_token;
+    for (auto const& entry : sign.known)
+        made.known.push_back(to_wire(entry));
+    return made;
+}
+
+dispatch::sign_of_life from_wire(wire::pulse const& pulse)
+{
+    dispatch::sign_of_life made;
+    made.sender = from_wire(pulse.sender);
+    made.leaving = pulse.leaving;
+    if (pulse.__isset.claim)
+        made.claim = dispatch::dispatch_claim{
+            pulse.claim.token, pulse.claim.endpoints, pulse.claim.retiring};
+    made.configuration_version = pulse.configuration_version;
+    made.highest_token = pulse.highest_token;
+    for (auto const& entry : pulse.known)
+        made.known.push_back(from_wire(entry));
+    return made;
+}
+
+wire::dispatch_job to_wire(dispatch::job_spec const& job,
+                           dispatch::entry_identity const& origin)
+{
+    wire::dispatch_job made;
+    made.id = job.id;
+    made.payload = job.payload;
+    for (auto const& step : job.steps)
+        made.steps.push_back(to_wire(step));
+    made.queue = job.queue;
+    made.service_name = job.service;
+    made.priority = job.priority;
+    made.max_attempts = job.max_attempts;
+    made.slack_factor = job.slack_factor;
+    made.target_latency_ms = job.target_latency.count();
+    made.patience_ms = job.patience.count();
+    made.origin = to_wire(origin);
+    return made;
+}
+
+outcome<dispatch::job_spec> from_wire(wire::dispatch_job job)
+{
+    dispatch::job_spec made;
+    made.id = std::move(job.id);
+    made.payload = std::move(job.payload);
+    for (auto const& step : job.steps)
+    {
+        if (!is_valid(step, made.steps.size()))
+            return failure{result_code::malformed_request,
+                           "a step that can't be"};
+        made.steps.push_back(from_wire(step));
+    }
+    if (made.steps.empty() || made.id.empty())
+        return failure{result_code::malformed_request, "no step or no id"};
+    made.queue = std::move(job.queue);
+    made.service = std::move(job.service_name);
+    made.priority = job.priority;
+    made.max_attempts = job.max_attempts;
+    made.slack_factor = job.slack_factor;
+    made.target_latency = milliseconds(job.target_latency_ms);
+    made.patience = milliseconds(job.patience_ms);
+    return made;
+}
+
+wire::dispatch_reply to_wire(dispatch::job_result const& result)
+{
+    wire::dispatch_reply made;
+    made.outcome = static_cast<std::int32_t>(result.end);
+    made.reason = static_cast<std::int32_t>(result.reason);
+    made.retry_after_ms = result.retry_after.count();
+    return made;
+}
+
+dispatch::job_result from_wire(wire::dispatch_reply const& reply)
+{
+    dispatch::job_result made;
+    constexpr auto last_end = static_cast<std::int32_t>(
+        dispatch::job_end::unknown);
+    constexpr auto last_reason = static_cast<std::int32_t>(
+        dispatch::end_reason::out_of_time);
+    if (reply.outcome >= 0 && reply.outcome <= last_end)
+        made.end = static_cast<dispatch::job_end>(reply.outcome);
+    if (reply.reason >= 0 && reply.reason <= last_reason)
+        made.reason = static_cast<dispatch::end_reason>(reply.reason);
+    made.retry_after = milliseconds(reply.retry_after_ms);
+    return made;
+}
+
+std::string origin_name(dispatch::entry_identity const& entry)
+{
+    return entry.address + "/" + std::to_string(entry.incarnation);
+}
+
+} // namespace masticshift::gateway
--- /dev/null
+++ b/libs/gateway/src/peer_wire.hpp
@@ -0,0 +1,37 @@
+#ifndef MASTICSHIFT_GATEWAY_PEER_WIRE_HPP
+#define MASTICSHIFT_GATEWAY_PEER_WIRE_HPP
+
+#include <core/outcome.hpp>
+#include <dispatch/job.hpp>
+#include <dispatch/peer_roster.hpp>
+#include <peer_link/wire.hpp>
+
+namespace masticshift::gateway
+{
+
+// Conversions between the messages of the peer protocol and the types of
+// libs/dispatch.
+
+wire::entry_record to_wire(dispatch::entry_identity const& entry);
+dispatch::entry_identity from_wire(wire::entry_record const& entry);
+
+wire::pulse to_wire(dispatch::sign_of_life const& sign);
+dispatch::sign_of_life from_wire(wire::pulse const& pulse);
+
+wire::dispatch_job to_wire(dispatch::job_spec const& job,
+                           dispatch::entry_identity const& origin);
+
+/// Fails with `malformed_request`.
+outcome<dispatch::job_spec> from_wire(wire::dispatch_job job);
+
+wire::dispatch_reply to_wire(dispatch::job_result const& result);
+
+/// A number that is not known gives an unknown end.
+dispatch::job_result from_wire(wire::dispatch_reply const& reply);
+
+/// How a dispatcher tells apart the processes that answer for jobs.
+std::string origin_name(dispatch::entry_identity const& entry);
+
+} // namespace masticshift::gateway
+
+#endif
--- a/libs/peer_link/idl/masticshift.thrift
+++ b/libs/peer_link/idl/masticshift.thrift
@@ -160,6 +160,110 @@
   2: string detail
 }
 
+// An entry as others know it.
+struct entry_record {
+  1: string address
+  2: i64 incarnation
+  3: string data_centre
+  // Thousandths of a core that it may use.
+  4: i32 processor
+}
+
+// The sender dispatches with this token.
+struct dispatch_claim {
+  1: i64 token
+  // Endpoints that it can place tasks on.
+  2: i64 endpoints
+  // Hands its endpoints over to the next dispatcher.
+  3: bool retiring
+}
+
+// Sign of life of an entry that serves callers of the users' platform.
+struct pulse {
+  1: entry_record sender
+  2: bool leaving
+  3: optional dispatch_claim claim
+  4: i64 configuration_version
+  // The highest token that the sender knows of.
+  5: i64 highest_token
+  // Some of the entries that the sender knows.
+  6: list<entry_record> known
+}
+
+struct pulse_reply {
+  1: pulse beat
+}
+
+struct dispatch_step {
+  1: i32 task_count
+  2: i64 processor
+  3: i64 memory_mb
+  4: i64 accelerators
+  5: i64 estimate_ms
+  6: string required_label
+  7: string preferred_rack
+  8: i32 max_per_endpoint
+  9: list<i32> after
+}
+
+// A job for the dispatcher. The answer comes when it has ended.
+struct dispatch_job {
+  1: string id
+  2: string payload
+  3: list<dispatch_step> steps
+  4: string queue
+  5: string service_name
+  6: i32 priority
+  7: i32 max_attempts
+  8: double slack_factor
+  9: i64 target_latency_ms
+  10: i64 patience_ms
+  11: entry_record origin
+}
+
+struct dispatch_reply {
+  // A `job_end` and an `end_reason`, as numbers.
+  1: i32 outcome
+  2: i32 reason
+  3: i64 retry_after_ms
+}
+
+// The caller of a job is gone.
+struct withdraw_job {
+  1: string id
+  2: entry_record origin
+}
+
+// Nothing of the sender's runs on these endpoints any more.
+struct release_endpoints {
+  1: list<string> endpoints
+  // The sender has none left.
+  2: bool last
+}
+
+struct learnt_speed {
+  1: string vm
+  2: double speed
+}
+
+// What a dispatcher has learnt, for those who may follow it.
+struct share_speeds {
+  1: list<learnt_speed> speeds
+}
+
+// Asks a peer to read from the platform's store, for an entry that the store
+// turns away.
+struct relay_read {
+  1: string target
+  2: i32 timeout_ms
+}
+
+struct relay_read_reply {
+  // 0: the store did not answer the peer either.
+  1: i32 status
+  2: binary body
+}
+
 union message {
   1: heartbeat heartbeat_call
   2: heartbeat_reply heartbeat_answer
@@ -175,6 +279,15 @@
   12: acknowledgement acknowledgement_answer
   13: refusal refusal_answer
   14: probe probe_call
+  15: pulse pulse_call
+  16: pulse_reply pulse_answer
+  17: dispatch_job dispatch_call
+  18: dispatch_reply dispatch_answer
+  19: withdraw_job withdraw_call
+  20: release_endpoints release_call
+  21: share_speeds speeds_call
+  22: relay_read relay_call
+  23: relay_read_reply relay_answer
 }
 
 struct envelope {
--- a/libs/peer_link/include/peer_link/message_kind.hpp
+++ b/libs/peer_link/include/peer_link/message_kind.hpp
@@ -26,10 +26,19 @@
     handover_answer,
     acknowledgement_answer,
     refusal_answer,
-    probe_call
+    probe_call,
+    pulse_call,
+    pulse_answer,
+    dispatch_call,
+    dispatch_answer,
+    withdraw_call,
+    release_call,
+    speeds_call,
+    relay_call,
+    relay_answer
 };
 
-constexpr std::size_t message_kind_count = 14;
+constexpr std::size_t message_kind_count = 23;
 
 /// The name of the member, as in the IDL.
 std::string_view name_of(message_kind kind);
@@ -57,6 +66,15 @@
 wire::message make_message(wire::acknowledgement content);
 wire::message make_message(wire::refusal content);
 wire::message make_message(wire::probe content);
+wire::message make_message(wire::pulse content);
+wire::message make_message(wire::pulse_reply content);
+wire::message make_message(wire::dispatch_job content);
+wire::message make_message(wire::dispatch_reply content);
+wire::message make_message(wire::withdraw_job content);
+wire::message make_message(wire::release_endpoints content);
+wire::message make_message(wire::share_speeds content);
+wire::message make_message(wire::relay_read content);
+wire::message make_message(wire::relay_read_reply content);
 
 } // namespace masticshift::peer_link
 
--- a/libs/peer_link/src/frame_codec.cpp
+++ b/libs/peer_link/src/frame_codec.cpp
@@ -40,9 +40,22 @@
                      beat.successions.size()});
 }
 
+std::size_t longest_list(wire::dispatch_job const& job)
+{
+    auto longest = job.steps.size();
+    for (auto const& step : job.steps)
+        longest = std::max(longest, step.after.size());
+    return longest;
+}
+
 std::size_t longest_list(wire::message const& content)
 {
     return std::max({longest_list(content.heartbeat_call),
+                     longest_list(content.dispatch_call),
+                     content.pulse_call.known.size(),
+                     content.pulse_answer.beat.known.size(),
+                     content.release_call.endpoints.size(),
+                     content.speeds_call.speeds.size(),
                      longest_list(content.heartbeat_answer.beat),
                      content.borrow_answer.slots.size(),
                      content.give_back_call.slots.size(),
--- a/libs/peer_link/src/message_kind.cpp
+++ b/libs/peer_link/src/message_kind.cpp
@@ -16,7 +16,7 @@
     "forward_answer", "borrow_call",      "borrow_answer",
     "give_back_call", "fetch_text_call",  "fetch_text_answer",
     "handover_call",  "handover_answer",  "acknowledgement_answer",
-    "refusal_answer", "probe_call"};
+    "refusal_answer", "probe_call",       "pulse_call", "pulse_answer", "dispatch_call", "dispatch_answer", "withdraw_call", "release_call", "speeds_call", "relay_call", "relay_answer"};
 
 /// Whether each member is set, in the order of `message_kind`.
 std::array<bool, message_kind_count> members_set(wire::message const& content)
@@ -27,7 +27,7 @@
         set.forward_answer, set.borrow_call,      set.borrow_answer,
         set.give_back_call, set.fetch_text_call,  set.fetch_text_answer,
         set.handover_call,  set.handover_answer,  set.acknowledgement_answer,
-        set.refusal_answer, set.probe_call};
+        set.refusal_answer, set.probe_call,   set.pulse_call, set.pulse_answer, set.dispatch_call, set.dispatch_answer, set.withdraw_call, set.release_call, set.speeds_call, set.relay_call, set.relay_answer};
 }
 
 } // namespace
@@ -66,7 +66,16 @@
         return fetch_text_answer;
     case handover_call:
         return handover_answer;
+    case pulse_call:
+        return pulse_answer;
+    case dispatch_call:
+        return dispatch_answer;
+    case relay_call:
+        return relay_answer;
     case give_back_call:
+    case withdraw_call:
+    case release_call:
+    case speeds_call:
     case probe_call:
         return acknowledgement_answer;
     default:
@@ -186,4 +195,76 @@
     return made;
 }
 
+wire::message make_message(wire::pulse content)
+{
+    wire::message made;
+    made.pulse_call = std::move(content);
+    made.__isset.pulse_call = true;
+    return made;
+}
+
+wire::message make_message(wire::pulse_reply content)
+{
+    wire::message made;
+    made.pulse_answer = std::move(content);
+    made.__isset.pulse_answer = true;
+    return made;
+}
+
+wire::message make_message(wire::dispatch_job content)
+{
+    wire::message made;
+    made.dispatch_call = std::move(content);
+    made.__isset.dispatch_call = true;
+    return made;
+}
+
+wire::message make_message(wire::dispatch_reply content)
+{
+    wire::message made;
+    made.dispatch_answer = std::move(content);
+    made.__isset.dispatch_answer = true;
+    return made;
+}
+
+wire::message make_message(wire::withdraw_job content)
+{
+    wire::message made;
+    made.withdraw_call = std::move(content);
+    made.__isset.withdraw_call = true;
+    return made;
+}
+
+wire::message make_message(wire::release_endpoints content)
+{
+    wire::message made;
+    made.release_call = std::move(content);
+    made.__isset.release_call = true;
+    return made;
+}
+
+wire::message make_message(wire::share_speeds content)
+{
+    wire::message made;
+    made.speeds_call = std::move(content);
+    made.__isset.speeds_call = true;
+    return made;
+}
+
+wire::message make_message(wire::relay_read content)
+{
+    wire::message made;
+    made.relay_call = std::move(content);
+    made.__isset.relay_call = true;
+    return made;
+}
+
+wire::message make_message(wire::relay_read_reply content)
+{
+    wire::message made;
+    made.relay_answer = std::move(content);
+    made.__isset.relay_answer = true;
+    return made;
+}
+
 } // namespace masticshift::peer_link
--- a/libs/platform/include/platform/configuration_record.hpp
+++ b/libs/store/include/store/configuration_record.hpp
@@ -1,5 +1,5 @@
-#ifndef MASTICSHIFT_PLATFORM_CONFIGURATION_RECORD_HPP
-#define MASTICSHIFT_PLATFORM_CONFIGURATION_RECORD_HPP
+#ifndef MASTICSHIFT_STORE_CONFIGURATION_RECORD_HPP
+#define MASTICSHIFT_STORE_CONFIGURATION_RECORD_HPP
 
 #include <core/outcome.hpp>
 
@@ -10,7 +10,7 @@
 #include <string_view>
 #include <vector>
 
-namespace masticshift::platform
+namespace masticshift::store
 {
 
 /// Which change made a revision.
@@ -69,6 +69,6 @@
 /// Fails with `platform_bad_answer`.
 outcome<configuration_record> parse_record(std::string_view json);
 
-} // namespace masticshift::platform
+} // namespace masticshift::store
 
 #endif
--- a/libs/platform/include/platform/configuration_store.hpp
+++ b/libs/store/include/store/configuration_store.hpp
@@ -1,11 +1,11 @@
-#ifndef MASTICSHIFT_PLATFORM_CONFIGURATION_STORE_HPP
-#define MASTICSHIFT_PLATFORM_CONFIGURATION_STORE_HPP
+#ifndef MASTICSHIFT_STORE_CONFIGURATION_STORE_HPP
+#define MASTICSHIFT_STORE_CONFIGURATION_STORE_HPP
 
 #include <core/outcome.hpp>
 #include <core/time.hpp>
-#include <platform/configuration_record.hpp>
-#include <platform/platform_client.hpp>
-#include <platform/table.hpp>
+#include <store/configuration_record.hpp>
+#include <store/platform_client.hpp>
+#include <store/table.hpp>
 
 #include <boost/asio/awaitable.hpp>
 
@@ -15,7 +15,7 @@
 #include <string>
 #include <utility>
 
-namespace masticshift::platform
+namespace masticshift::store
 {
 
 /// How long `apply` tries.
@@ -249,6 +249,6 @@
     apply_limits limits_;
 };
 
-} // namespace masticshift::platform
+} // namespace masticshift::store
 
 #endif
--- a/libs/platform/include/platform/http_platform.hpp
+++ b/libs/store/include/store/http_platform.hpp
@@ -1,19 +1,19 @@
-#ifndef MASTICSHIFT_PLATFORM_HTTP_PLATFORM_HPP
-#define MASTICSHIFT_PLATFORM_HTTP_PLATFORM_HPP
+#ifndef MASTICSHIFT_STORE_HTTP_PLATFORM_HPP
+#define MASTICSHIFT_STORE_HTTP_PLATFORM_HPP
 
 #include <config/daemon_settings.hpp>
 #include <core/outcome.hpp>
 #include <core/time.hpp>
-#include <platform/platform_client.hpp>
-#include <platform/table.hpp>
-#include <platform/vm_list.hpp>
+#include <store/platform_client.hpp>
+#include <store/table.hpp>
+#include <store/vm_list.hpp>
 #include <transport/http_client.hpp>
 
 #include <boost/asio/awaitable.hpp>
 
 #include <string>
 
-namespace masticshift::platform
+namespace masticshift::store
 {
 
 /// A `platform_client` that speaks the HTTP protocol of docs/PLATFORM.md.
@@ -39,6 +39,6 @@
 
 static_assert(platform_client<http_platform>);
 
-} // namespace masticshift::platform
+} // namespace masticshift::store
 
 #endif
--- a/libs/platform/include/platform/platform_client.hpp
+++ b/libs/store/include/store/platform_client.hpp
@@ -1,16 +1,16 @@
-#ifndef MASTICSHIFT_PLATFORM_PLATFORM_CLIENT_HPP
-#define MASTICSHIFT_PLATFORM_PLATFORM_CLIENT_HPP
+#ifndef MASTICSHIFT_STORE_PLATFORM_CLIENT_HPP
+#define MASTICSHIFT_STORE_PLATFORM_CLIENT_HPP
 
 #include <core/outcome.hpp>
 #include <core/time.hpp>
-#include <platform/table.hpp>
-#include <platform/vm_list.hpp>
+#include <store/table.hpp>
+#include <store/vm_list.hpp>
 
 #include <boost/asio/awaitable.hpp>
 
 #include <concepts>
 
-namespace masticshift::platform
+namespace masticshift::store
 {
 
 /// Access to the platform's services. `read` fails with
@@ -40,6 +40,6 @@
         } -> std::same_as<boost::asio::awaitable<void>>;
 };
 
-} // namespace masticshift::platform
+} // namespace masticshift::store
 
 #endif
--- a/libs/platform/include/platform/table.hpp
+++ b/libs/store/include/store/table.hpp
@@ -1,5 +1,5 @@
-#ifndef MASTICSHIFT_PLATFORM_TABLE_HPP
-#define MASTICSHIFT_PLATFORM_TABLE_HPP
+#ifndef MASTICSHIFT_STORE_TABLE_HPP
+#define MASTICSHIFT_STORE_TABLE_HPP
 
 #include <core/outcome.hpp>
 
@@ -9,7 +9,7 @@
 #include <tuple>
 #include <vector>
 
-namespace masticshift::platform
+namespace masticshift::store
 {
 
 /// Names one value of the platform's table service.
@@ -73,6 +73,6 @@
     failure error;
 };
 
-} // namespace masticshift::platform
+} // namespace masticshift::store
 
 #endif
--- a/libs/platform/include/platform/timer_wait.hpp
+++ b/libs/store/include/store/timer_wait.hpp
@@ -1,11 +1,11 @@
-#ifndef MASTICSHIFT_PLATFORM_TIMER_WAIT_HPP
-#define MASTICSHIFT_PLATFORM_TIMER_WAIT_HPP
+#ifndef MASTICSHIFT_STORE_TIMER_WAIT_HPP
+#define MASTICSHIFT_STORE_TIMER_WAIT_HPP
 
 #include <core/time.hpp>
 
 #include <boost/asio/awaitable.hpp>
 
-namespace masticshift::platform
+namespace masticshift::store
 {
 
 /// A `waiter` that suspends the coroutine on a timer of its executor.
@@ -14,6 +14,6 @@
     boost::asio::awaitable<void> operator()(milliseconds length) const;
 };
 
-} // namespace masticshift::platform
+} // namespace masticshift::store
 
 #endif
--- a/libs/platform/include/platform/vm_list.hpp
+++ b/libs/store/include/store/vm_list.hpp
@@ -1,5 +1,5 @@
-#ifndef MASTICSHIFT_PLATFORM_VM_LIST_HPP
-#define MASTICSHIFT_PLATFORM_VM_LIST_HPP
+#ifndef MASTICSHIFT_STORE_VM_LIST_HPP
+#define MASTICSHIFT_STORE_VM_LIST_HPP
 
 #include <config/daemon_settings.hpp>
 #include <core/outcome.hpp>
@@ -9,7 +9,7 @@
 #include <string_view>
 #include <vector>
 
-namespace masticshift::platform
+namespace masticshift::store
 {
 
 enum class vm_role
@@ -48,6 +48,6 @@
 /// whole, with `platform_bad_answer`.
 outcome<vm_list> parse_vm_list(std::string_view json);
 
-} // namespace masticshift::platform
+} // namespace masticshift::store
 
 #endif
--- a/libs/platform/src/configuration_record.cpp
+++ b/libs/store/src/configuration_record.cpp
@@ -1,4 +1,4 @@
-#include <platform/configuration_record.hpp>
+#include <store/configuration_record.hpp>
 
 #include "json_access.hpp"
 
@@ -6,7 +6,7 @@
 
 #include <algorithm>
 
-namespace masticshift::platform
+namespace masticshift::store
 {
 
 namespace json = boost::json;
@@ -127,4 +127,4 @@
     return record;
 }
 
-} // namespace masticshift::platform
+} // namespace masticshift::store
--- a/libs/platform/src/configuration_store.cpp
+++ b/libs/store/src/configuration_store.cpp
@@ -1,8 +1,8 @@
-#include <platform/configuration_store.hpp>
+#include <store/configuration_store.hpp>
 
 #include <charconv>
 
-namespace masticshift::platform
+namespace masticshift::store
 {
 
 namespace
@@ -46,4 +46,4 @@
     return write;
 }
 
-} // namespace masticshift::platform
+} // namespace masticshift::store
--- a/libs/platform/src/http_platform.cpp
+++ b/libs/store/src/http_platform.cpp
@@ -1,10 +1,10 @@
-#include <platform/http_platform.hpp>
+#include <store/http_platform.hpp>
 
 #include "platform_messages.hpp"
 
 #include <utility>
 
-namespace masticshift::platform
+namespace masticshift::store
 {
 
 namespace
@@ -56,4 +56,4 @@
                         steady_clock::now() + timeout_);
 }
 
-} // namespace masticshift::platform
+} // namespace masticshift::store
--- a/libs/platform/src/json_access.cpp
+++ b/libs/store/src/json_access.cpp
@@ -2,7 +2,7 @@
 
 #include <boost/json/parse.hpp>
 
-namespace masticshift::platform
+namespace masticshift::store
 {
 
 namespace json = boost::json;
@@ -44,4 +44,4 @@
     return value == nullptr ? nullptr : value->if_array();
 }
 
-} // namespace masticshift::platform
+} // namespace masticshift::store
--- a/libs/platform/src/json_access.hpp
+++ b/libs/store/src/json_access.hpp
@@ -1,5 +1,5 @@
-#ifndef MASTICSHIFT_PLATFORM_JSON_ACCESS_HPP
-#define MASTICSHIFT_PLATFORM_JSON_ACCESS_HPP
+#ifndef MASTICSHIFT_STORE_JSON_ACCESS_HPP
+#define MASTICSHIFT_STORE_JSON_ACCESS_HPP
 
 #include <boost/json/value.hpp>
 
@@ -8,7 +8,7 @@
 #include <string>
 #include <string_view>
 
-namespace masticshift::platform
+namespace masticshift::store
 {
 
 /// Parses an object. Nothing when the text is anything else.
@@ -22,6 +22,6 @@
 boost::json::array const* array_at(boost::json::object const& object,
                                    std::string_view key);
 
-} // namespace masticshift::platform
+} // namespace masticshift::store
 
 #endif
--- a/libs/platform/src/platform_messages.cpp
+++ b/libs/store/src/platform_messages.cpp
@@ -4,7 +4,7 @@
 
 #include <boost/json/serialize.hpp>
 
-namespace masticshift::platform
+namespace masticshift::store
 {
 
 namespace json = boost::json;
@@ -125,4 +125,4 @@
     return {code, "the platform answered " + std::to_string(response.status)};
 }
 
-} // namespace masticshift::platform
+} // namespace masticshift::store
--- a/libs/platform/src/platform_messages.hpp
+++ b/libs/store/src/platform_messages.hpp
@@ -1,12 +1,12 @@
-#ifndef MASTICSHIFT_PLATFORM_PLATFORM_MESSAGES_HPP
-#define MASTICSHIFT_PLATFORM_PLATFORM_MESSAGES_HPP
+#ifndef MASTICSHIFT_STORE_PLATFORM_MESSAGES_HPP
+#define MASTICSHIFT_STORE_PLATFORM_MESSAGES_HPP
 
 #include <core/outcome.hpp>
-#include <platform/table.hpp>
+#include <store/table.hpp>
 #include <transport/http_client.hpp>
 #include <transport/http_message.hpp>
 
-namespace masticshift::platform
+namespace masticshift::store
 {
 
 transport::http_request read_request(table_key const& key);
@@ -22,6 +22,6 @@
 failure read_failure(transport::call_failure const& failed);
 failure unexpected_status(transport::http_response const& response);
 
-} // namespace masticshift::platform
+} // namespace masticshift::store
 
 #endif
--- a/libs/platform/src/timer_wait.cpp
+++ b/libs/store/src/timer_wait.cpp
@@ -1,10 +1,10 @@
-#include <platform/timer_wait.hpp>
+#include <store/timer_wait.hpp>
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-namespace masticshift::platform
+namespace masticshift::store
 {
 
 boost::asio::awaitable<void> timer_wait::operator()(milliseconds length) const
@@ -14,4 +14,4 @@
     co_await timer.async_wait(boost::asio::use_awaitable);
 }
 
-} // namespace masticshift::platform
+} // namespace masticshift::store
--- a/libs/platform/src/vm_list.cpp
+++ b/libs/store/src/vm_list.cpp
@@ -1,10 +1,10 @@
-#include <platform/vm_list.hpp>
+#include <store/vm_list.hpp>
 
 #include "json_access.hpp"
 
 #include <array>
 
-namespace masticshift::platform
+namespace masticshift::store
 {
 
 namespace json = boost::json;
@@ -111,4 +111,4 @@
     return list;
 }
 
-} // namespace masticshift::platform
+} // namespace masticshift::store
--- a/libs/platform/tests/configuration_store_test.cpp
+++ b/libs/store/tests/configuration_store_test.cpp
@@ -7,7 +7,7 @@
 #include <map>
 
 using namespace masticshift;
-using namespace masticshift::platform;
+using namespace masticshift::store;
 
 namespace
 {
--- a/libs/platform/tests/fake_platform.hpp
+++ b/libs/store/tests/fake_platform.hpp
@@ -1,7 +1,7 @@
 #ifndef MASTICSHIFT_PLATFORM_TESTS_FAKE_PLATFORM_HPP
 #define MASTICSHIFT_PLATFORM_TESTS_FAKE_PLATFORM_HPP
 
-#include <platform/configuration_store.hpp>
+#include <store/configuration_store.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -17,7 +17,7 @@
 #include <utility>
 #include <vector>
 
-namespace masticshift::platform
+namespace masticshift::store
 {
 
 /// What becomes of one commit.
@@ -217,6 +217,6 @@
     return answer;
 }
 
-} // namespace masticshift::platform
+} // namespace masticshift::store
 
 #endif
--- a/libs/platform/tests/platform_messages_test.cpp
+++ b/libs/store/tests/platform_messages_test.cpp
@@ -1,11 +1,11 @@
 #include "platform_messages.hpp"
 
-#include <platform/vm_list.hpp>
+#include <store/vm_list.hpp>
 
 #include <doctest/doctest.h>
 
 using namespace masticshift;
-using namespace masticshift::platform;
+using namespace masticshift::store;
 
 namespace
 {
--- a/libs/test_support/include/test_support/blocking_client.hpp
+++ b/libs/test_support/include/test_support/blocking_client.hpp
@@ -2,7 +2,7 @@
 #define MASTICSHIFT_TEST_SUPPORT_BLOCKING_CLIENT_HPP
 
 #include <config/daemon_settings.hpp>
-#include <platform/configuration_store.hpp>
+#include <store/configuration_store.hpp>
 #include <test_support/network_thread.hpp>
 #include <transport/http_client.hpp>
 
@@ -31,8 +31,8 @@
                           std::string const& body);
 
     /// Applies a configuration as the command line does.
-    platform::apply_answer apply(config::socket_address const& platform,
-                                 platform::configuration_change change);
+    store::apply_answer apply(config::socket_address const& platform,
+                                 store::configuration_change change);
 
 private:
     network_thread& network_;
--- a/libs/test_support/include/test_support/cluster.hpp
+++ b/libs/test_support/include/test_support/cluster.hpp
@@ -77,7 +77,7 @@
 
     /// Applies a next configuration with a fresh change id and records what
     /// the operator was told. May be called on any thread.
-    platform::apply_answer apply();
+    store::apply_answer apply();
 
     outcome<void> control_platform(std::string const& body);
     outcome<void> control_endpoint(std::size_t index, std::string const& body);
--- a/libs/test_support/src/blocking_client.cpp
+++ b/libs/test_support/src/blocking_client.cpp
@@ -1,7 +1,7 @@
 #include <test_support/blocking_client.hpp>
 
-#include <platform/http_platform.hpp>
-#include <platform/timer_wait.hpp>
+#include <store/http_platform.hpp>
+#include <store/timer_wait.hpp>
 
 #include <boost/asio.hpp>
 
@@ -16,14 +16,14 @@
 constexpr milliseconds control_patience{5'000};
 constexpr milliseconds platform_timeout{1'000};
 
-asio::awaitable<platform::apply_answer>
+asio::awaitable<store::apply_answer>
 apply_at(transport::http_client& client, config::socket_address address,
-         platform::configuration_change change)
+         store::configuration_change change)
 {
-    platform::http_platform platform(client, std::move(address),
+    store::http_platform platform(client, std::move(address),
                                      platform_timeout);
-    platform::configuration_store store(platform, platform::timer_wait{});
-    co_return co_await store.apply(std::move(change), std::nullopt);
+    store::configuration_store configurations(platform, store::timer_wait{});
+    co_return co_await configurations.apply(std::move(change), std::nullopt);
 }
 
 } // namespace
@@ -72,9 +72,9 @@
     return {};
 }
 
-platform::apply_answer
+store::apply_answer
 blocking_client::apply(config::socket_address const& platform,
-                       platform::configuration_change change)
+                       store::configuration_change change)
 {
     auto answer = asio::co_spawn(
         network_.executor(), apply_at(*client_, platform, std::move(change)),
--- a/libs/test_support/src/cluster.cpp
+++ b/libs/test_support/src/cluster.cpp
@@ -73,7 +73,7 @@
         prepare_entry(i);
     if (started)
         started = show_vms(false);
-    auto const applied = started ? apply() : platform::apply_answer{};
+    auto const applied = started ? apply() : store::apply_answer{};
     if (started && applied.code != result_code::ok)
         return stuck("first configuration: " + applied.detail);
     for (std::size_t i = 0; i < entries_.size() && started; ++i)
@@ -217,10 +217,10 @@
     return {};
 }
 
-platform::apply_answer cluster::apply()
+store::apply_answer cluster::apply()
 {
     auto const number = ++changes_;
-    platform::configuration_change change;
+    store::configuration_change change;
     change.change_id = "change-" + std::to_string(number);
     change.text = "# " + change.change_id + "\n" + service_text();
     auto answer = client_.apply(platform_address_, change);
--- a/libs/transport/include/transport/http_client.hpp
+++ b/libs/transport/include/transport/http_client.hpp
@@ -95,6 +95,10 @@
     void set_max_connections(std::string const& ip, std::uint16_t port,
                              unsigned limit);
 
+    /// Closes the kept connections to one address, for example when another
+    /// one to it went silent.
+    void drop_kept(std::string const& ip, std::uint16_t port);
+
     /// Closes kept connections that were idle for too long.
     void close_idle(time_point now);
 
--- a/libs/transport/include/transport/http_message.hpp
+++ b/libs/transport/include/transport/http_message.hpp
@@ -1,8 +1,11 @@
 #ifndef MASTICSHIFT_TRANSPORT_HTTP_MESSAGE_HPP
 #define MASTICSHIFT_TRANSPORT_HTTP_MESSAGE_HPP
 
+#include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace masticshift::transport
@@ -25,6 +28,48 @@
     void set(std::string_view name, std::string_view value);
 };
 
+/// Tells the handler of a request that its caller has closed the connection.
+class caller_presence
+{
+public:
+    /// `watch` begins to look for the end of the connection.
+    explicit caller_presence(std::function<void()> watch)
+        : watch_(std::move(watch))
+    {
+    }
+
+    /// Calls `notify` once if the caller goes before it is answered.
+    void on_gone(std::function<void()> notify)
+    {
+        notify_ = std::move(notify);
+        if (watch_)
+            watch_();
+    }
+
+    bool watched() const
+    {
+        return static_cast<bool>(notify_);
+    }
+
+    /// The caller has closed the connection.
+    void note_gone()
+    {
+        if (auto const notify = std::exchange(notify_, nullptr))
+            notify();
+    }
+
+    /// The request was answered. Nothing is told any more.
+    void end()
+    {
+        notify_ = nullptr;
+        watch_ = nullptr;
+    }
+
+private:
+    std::function<void()> watch_;
+    std::function<void()> notify_;
+};
+
 struct http_request
 {
     std::string method = "GET";
@@ -32,6 +77,8 @@
     std::string target = "/";
     http_fields fields;
     std::string body;
+    /// Set by a server.
+    std::shared_ptr<caller_presence> caller;
 };
 
 struct http_response
--- a/libs/transport/src/http_client.cpp
+++ b/libs/transport/src/http_client.cpp
@@ -181,6 +181,13 @@
         pool_of(ip, port)->max_connections = limit;
     }
 
+    void drop_kept(std::string const& ip, std::uint16_t port)
+    {
+        auto const found = pools_.find({ip, port});
+        if (found != pools_.end())
+            found->second->kept.clear();
+    }
+
     void close_idle(time_point now)
     {
         for (auto const& [address, shared_pool] : pools_)
@@ -329,6 +336,11 @@
     impl_->set_max_connections(ip, port, limit);
 }
 
+void http_client::drop_kept(std::string const& ip, std::uint16_t port)
+{
+    impl_->drop_kept(ip, port);
+}
+
 void http_client::close_idle(time_point now)
 {
     impl_->close_idle(now);
--- a/libs/transport/src/http_server.cpp
+++ b/libs/transport/src/http_server.cpp
@@ -74,6 +74,33 @@
         });
 }
 
+/// Watches for the end of a connection while its request is handled. Bytes
+/// that arrive belong to the next request and end the watch.
+void watch_for_end(std::weak_ptr<session> const& watched,
+                   std::weak_ptr<caller_presence> const& caller)
+{
+    auto const open = watched.lock();
+    if (!open)
+        return;
+    open->stream.socket().async_wait(
+        tcp::socket::wait_read,
+        [watched, caller](beast::error_code error)
+        {
+            auto const waiting = caller.lock();
+            auto const read = watched.lock();
+            if (error == asio::error::operation_aborted || !waiting || !read)
+                return;
+            char byte = 0;
+            beast::error_code peeked;
+            auto& socket = read->stream.socket();
+            socket.non_blocking(true, peeked);
+            socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek,
+                           peeked);
+            if (peeked && peeked != asio::error::would_block)
+                waiting->note_gone();
+        });
+}
+
 failure failure_of(beast::error_code error)
 {
     if (error == http::error::header_limit)
@@ -291,7 +318,18 @@
         }
         bool const keep_alive = parser.keep_alive();
         unsigned const version = parser.get().version();
-        auto response = co_await answer(take_request(parser));
+        auto request = take_request(parser);
+        std::shared_ptr<caller_presence> caller;
+        auto const watch = [watched = std::weak_ptr(owned), &caller]
+        {
+            watch_for_end(watched, caller);
+        };
+        caller = std::make_shared<caller_presence>(watch);
+        request.caller = caller;
+        auto response = co_await answer(std::move(request));
+        if (caller->watched())
+            open.stream.cancel();
+        caller->end();
         if (!response)
             co_return false;
         bool const keep = keep_alive && !closing_ && !asks_to_close(*response);
--- a/tools/fault_matrix/src/fault_injector.hpp
+++ b/tools/fault_matrix/src/fault_injector.hpp
@@ -43,7 +43,7 @@
 
     test_support::cluster& system_;
     call_load& load_;
-    std::vector<std::future<platform::apply_answer>> operators_;
+    std::vector<std::future<store::apply_answer>> operators_;
     std::vector<std::string> failures_;
 };
 
--- a/tools/fault_matrix/src/row_run.cpp
+++ b/tools/fault_matrix/src/row_run.cpp
@@ -324,7 +324,7 @@
     row const& what_;
     run_options const& options_;
     test_support::cluster system_;
-    std::future<platform::apply_answer> applying_;
+    std::future<store::apply_answer> applying_;
     verdict result_;
 };
 
--- a/tools/masticshift/src/apply.cpp
+++ b/tools/masticshift/src/apply.cpp
@@ -9,7 +9,7 @@
 namespace
 {
 
-report report_of_apply(platform::apply_answer const& answer,
+report report_of_apply(store::apply_answer const& answer,
                        std::string const& change_id)
 {
     report result;
@@ -35,7 +35,7 @@
     auto const text = load_checked_text(given.arguments[1]);
     if (!text)
         co_return report_of(text.error());
-    platform::configuration_change change;
+    store::configuration_change change;
     change.change_id = given.change_id.empty() ? random_id() : given.change_id;
     change.text = text->text;
     platform_access access(calls, given);
--- a/tools/masticshift/src/job_submission.cpp
+++ b/tools/masticshift/src/job_submission.cpp
@@ -2,7 +2,7 @@
 
 #include "random_id.hpp"
 
-#include <platform/timer_wait.hpp>
+#include <store/timer_wait.hpp>
 
 #include <boost/json.hpp>
 
@@ -86,7 +86,7 @@
         // An earlier run of this program may have sent it.
         sent_before_ = true;
     }
-    platform::timer_wait const wait;
+    store::timer_wait const wait;
     for (unsigned i = 0; i < limits_.attempts; ++i)
     {
         if (i > 0)
--- a/tools/masticshift/src/platform_access.hpp
+++ b/tools/masticshift/src/platform_access.hpp
@@ -4,9 +4,9 @@
 #include "options.hpp"
 #include "session.hpp"
 
-#include <platform/configuration_store.hpp>
-#include <platform/http_platform.hpp>
-#include <platform/timer_wait.hpp>
+#include <store/configuration_store.hpp>
+#include <store/http_platform.hpp>
+#include <store/timer_wait.hpp>
 
 namespace masticshift::cli
 {
@@ -17,8 +17,8 @@
 class platform_access
 {
 public:
-    using store_type = platform::configuration_store<platform::http_platform,
-                                                     platform::timer_wait>;
+    using store_type = store::configuration_store<store::http_platform,
+                                                     store::timer_wait>;
 
     platform_access(session& calls, options const& given)
         : platform_(calls.client(), *given.platform, platform_timeout),
@@ -32,7 +32,7 @@
     }
 
 private:
-    platform::http_platform platform_;
+    store::http_platform platform_;
     store_type store_;
 };
 
--- a/tools/masticshiftd/src/main.cpp
+++ b/tools/masticshiftd/src/main.cpp
@@ -1,4 +1,7 @@
+#include "gateway_process.hpp"
+
 #include <config/daemon_settings.hpp>
+#include <config/gateway_settings.hpp>
 #include <core/log.hpp>
 #include <daemon/entry.hpp>
 
@@ -7,9 +10,12 @@
 #include <gflags/gflags.h>
 
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 
-DEFINE_string(settings, "", "file with the settings, TOML");
+DEFINE_string(settings, "",
+              "file with the settings, TOML; by default the one that "
+              "MASTICSHIFT_CONFIG names");
 DEFINE_bool(check, false, "check the settings and exit");
 
 namespace
@@ -51,16 +57,9 @@
     return exit_code_of(result_code::ok);
 }
 
-} // namespace
-
-int main(int argc, char** argv)
+int run_entry(std::string const& path)
 {
-    gflags::SetUsageMessage("one entry of the masticshift dispatcher");
-    gflags::SetVersionString(MASTICSHIFT_VERSION);
-    gflags::ParseCommandLineFlags(&argc, &argv, true);
-    if (FLAGS_settings.empty())
-        return report({result_code::usage, "--settings is missing"});
-    auto settings = config::load_daemon_settings(FLAGS_settings);
+    auto settings = config::load_daemon_settings(path);
     if (!settings)
         return report(settings.error());
     auto const checked = daemon::check_settings(*settings);
@@ -73,3 +72,36 @@
     configure_log(settings->log);
     return run(std::move(*settings));
 }
+
+int run_gateway(std::string const& path)
+{
+    auto settings = config::load_gateway_settings(path);
+    if (!settings)
+        return report(settings.error());
+    if (FLAGS_check)
+        return exit_code_of(result_code::ok);
+    auto const served = serve_gateway(path, std::move(*settings));
+    return served ? exit_code_of(result_code::ok) : report(served.error());
+}
+
+/// The path that the command line or the environment names.
+std::string settings_path()
+{
+    if (!FLAGS_settings.empty())
+        return FLAGS_settings;
+    auto const* const named = std::getenv("MASTICSHIFT_CONFIG");
+    return named == nullptr ? std::string() : std::string(named);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage("one entry of the masticshift dispatcher");
+    gflags::SetVersionString(MASTICSHIFT_VERSION);
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    auto const path = settings_path();
+    if (path.empty())
+        return report({result_code::usage, "--settings is missing"});
+    return config::is_gateway_file(path) ? run_gateway(path) : run_entry(path);
+}
--- a/tools/platform_standin/src/fault_control.cpp
+++ b/tools/platform_standin/src/fault_control.cpp
@@ -1,6 +1,6 @@
 #include "fault_control.hpp"
 
-#include <platform/vm_list.hpp>
+#include <store/vm_list.hpp>
 
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
@@ -79,7 +79,7 @@
 bool is_vm_list(json::value const& vms)
 {
     json::object const list{{"as_of_us", 0}, {"vms", vms}};
-    return masticshift::platform::parse_vm_list(json::serialize(list))
+    return masticshift::store::parse_vm_list(json::serialize(list))
         .has_value();
 }
 
--- a/tools/platform_standin/src/platform_service.cpp
+++ b/tools/platform_standin/src/platform_service.cpp
@@ -2,7 +2,7 @@
 
 #include "transaction_body.hpp"
 
-#include <platform/configuration_store.hpp>
+#include <store/configuration_store.hpp>
 
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
@@ -65,15 +65,15 @@
 }
 
 /// The configuration that a transaction puts in force, if any.
-std::optional<masticshift::platform::configuration_record>
-configuration_in(masticshift::platform::transaction const& done)
+std::optional<masticshift::store::configuration_record>
+configuration_in(masticshift::store::transaction const& done)
 {
     for (auto const& write : done.writes)
     {
-        if (write.key == masticshift::platform::configuration_key() &&
+        if (write.key == masticshift::store::configuration_key() &&
             write.value)
         {
-            auto record = masticshift::platform::parse_record(*write.value);
+            auto record = masticshift::store::parse_record(*write.value);
             if (record)
                 return *std::move(record);
         }
@@ -238,7 +238,7 @@
 }
 
 void platform_service::record_commit(
-    masticshift::platform::transaction const& done,
+    masticshift::store::transaction const& done,
     std::vector<std::uint64_t> const& versions)
 {
     json::object fields{{"writes", write_rows(done, versions)}};
--- a/tools/platform_standin/src/platform_service.hpp
+++ b/tools/platform_standin/src/platform_service.hpp
@@ -7,7 +7,7 @@
 #include "vm_history.hpp"
 
 #include <core/time.hpp>
-#include <platform/table.hpp>
+#include <store/table.hpp>
 #include <transport/http_message.hpp>
 
 #include <boost/asio/awaitable.hpp>
@@ -48,7 +48,7 @@
     transport::http_response commit(transport::http_request const& request);
     transport::http_response put_object(transport::http_request const& request);
 
-    void record_commit(masticshift::platform::transaction const& done,
+    void record_commit(masticshift::store::transaction const& done,
                        std::vector<std::uint64_t> const& versions);
     void record_shown_vms(masticshift::time_point now);
     boost::asio::awaitable<void>
--- a/tools/platform_standin/src/table_store.cpp
+++ b/tools/platform_standin/src/table_store.cpp
@@ -3,16 +3,16 @@
 namespace platform_standin
 {
 
-std::optional<platform::table_entry>
-table_store::read(platform::table_key const& key) const
+std::optional<store::table_entry>
+table_store::read(store::table_key const& key) const
 {
     auto const found = slots_.find(key);
     if (found == slots_.end() || !found->second.value)
         return std::nullopt;
-    return platform::table_entry{found->second.writes, *found->second.value};
+    return store::table_entry{found->second.writes, *found->second.value};
 }
 
-commit_result table_store::commit(platform::transaction const& request)
+commit_result table_store::commit(store::transaction const& request)
 {
     commit_result result;
     for (auto const& check : request.checks)
@@ -32,7 +32,7 @@
     return result;
 }
 
-std::uint64_t table_store::version_of(platform::table_key const& key) const
+std::uint64_t table_store::version_of(store::table_key const& key) const
 {
     auto const entry = read(key);
     return entry ? entry->version : 0;
--- a/tools/platform_standin/src/table_store.hpp
+++ b/tools/platform_standin/src/table_store.hpp
@@ -1,7 +1,7 @@
 #ifndef PLATFORM_STANDIN_TABLE_STORE_HPP
 #define PLATFORM_STANDIN_TABLE_STORE_HPP
 
-#include <platform/table.hpp>
+#include <store/table.hpp>
 
 #include <cstdint>
 #include <map>
@@ -12,13 +12,13 @@
 namespace platform_standin
 {
 
-namespace platform = masticshift::platform;
+namespace store = masticshift::store;
 
 /// What a transaction came to.
 struct commit_result
 {
     /// The checks that did not hold, with the versions found instead.
-    std::vector<platform::version_check> conflicts;
+    std::vector<store::version_check> conflicts;
     /// The new version of each write. Empty when there are conflicts.
     std::vector<std::uint64_t> versions;
 };
@@ -27,10 +27,10 @@
 class table_store
 {
 public:
-    std::optional<platform::table_entry>
-    read(platform::table_key const& key) const;
+    std::optional<store::table_entry>
+    read(store::table_key const& key) const;
 
-    commit_result commit(platform::transaction const& request);
+    commit_result commit(store::transaction const& request);
 
 private:
     struct slot
@@ -40,9 +40,9 @@
         std::optional<std::string> value;
     };
 
-    std::uint64_t version_of(platform::table_key const& key) const;
+    std::uint64_t version_of(store::table_key const& key) const;
 
-    std::map<platform::table_key, slot> slots_;
+    std::map<store::table_key, slot> slots_;
 };
 
 } // namespace platform_standin
--- a/tools/platform_standin/src/transaction_body.cpp
+++ b/tools/platform_standin/src/transaction_body.cpp
@@ -52,9 +52,9 @@
     return {result_code::malformed_request, "transaction: " + detail};
 }
 
-platform::transaction to_transaction(wire::body const& body)
+store::transaction to_transaction(wire::body const& body)
 {
-    platform::transaction request;
+    store::transaction request;
     for (auto const& each : body.checks)
         request.checks.push_back({{each.table, each.key}, each.version});
     for (auto const& each : body.writes)
@@ -62,9 +62,9 @@
     return request;
 }
 
-bool writes_a_key_twice(platform::transaction const& request)
+bool writes_a_key_twice(store::transaction const& request)
 {
-    std::set<platform::table_key> keys;
+    std::set<store::table_key> keys;
     for (auto const& write : request.writes)
     {
         if (!keys.insert(write.key).second)
@@ -75,7 +75,7 @@
 
 } // namespace
 
-outcome<platform::transaction> parse_transaction(std::string_view text)
+outcome<store::transaction> parse_transaction(std::string_view text)
 {
     boost::system::error_code error;
     auto const parsed = json::parse(text, error);
@@ -90,7 +90,7 @@
     return request;
 }
 
-json::array conflict_rows(std::vector<platform::version_check> const& conflicts)
+json::array conflict_rows(std::vector<store::version_check> const& conflicts)
 {
     json::array rows;
     for (auto const& each : conflicts)
@@ -102,7 +102,7 @@
     return rows;
 }
 
-json::array write_rows(platform::transaction const& request,
+json::array write_rows(store::transaction const& request,
                        std::vector<std::uint64_t> const& versions)
 {
     json::array rows;
--- a/tools/platform_standin/src/transaction_body.hpp
+++ b/tools/platform_standin/src/transaction_body.hpp
@@ -4,7 +4,7 @@
 #include "table_store.hpp"
 
 #include <core/outcome.hpp>
-#include <platform/table.hpp>
+#include <store/table.hpp>
 
 #include <boost/json/array.hpp>
 
@@ -15,14 +15,14 @@
 {
 
 /// Reads the body of `POST /v1/transactions`.
-masticshift::outcome<platform::transaction>
+masticshift::outcome<store::transaction>
 parse_transaction(std::string_view body);
 
 boost::json::array
-conflict_rows(std::vector<platform::version_check> const& conflicts);
+conflict_rows(std::vector<store::version_check> const& conflicts);
 
 /// The writes with the versions that they made, for the history.
-boost::json::array write_rows(platform::transaction const& request,
+boost::json::array write_rows(store::transaction const& request,
                               std::vector<std::uint64_t> const& versions);
 
 } // namespace platform_standin
--- a/tools/platform_standin/tests/platform_service_test.cpp
+++ b/tools/platform_standin/tests/platform_service_test.cpp
@@ -3,9 +3,9 @@
 #include "transaction_body.hpp"
 
 #include <history/codec.hpp>
-#include <platform/configuration_store.hpp>
-#include <platform/http_platform.hpp>
-#include <platform/timer_wait.hpp>
+#include <store/configuration_store.hpp>
+#include <store/http_platform.hpp>
+#include <store/timer_wait.hpp>
 #include <transport/http_server.hpp>
 
 #include <boost/asio.hpp>
@@ -44,7 +44,7 @@
                                       return transport::http_response{};
                                   }};
     transport::http_client client{context.get_executor(), {}};
-    std::optional<platform::http_platform> platform;
+    std::optional<store::http_platform> platform;
 
     fixture()
     {
@@ -94,10 +94,10 @@
         return *answer;
     }
 
-    platform::apply_answer apply(std::string const& change_id)
+    store::apply_answer apply(std::string const& change_id)
     {
-        platform::configuration_store<platform::http_platform,
-                                      platform::timer_wait>
+        store::configuration_store<store::http_platform,
+                                      store::timer_wait>
             store(*platform, {}, {3, milliseconds(1), milliseconds(1)});
         return run(store.apply({change_id, "text"}, std::nullopt));
     }
@@ -110,7 +110,7 @@
     fixture test;
     CHECK(test.apply("a").revision == 1);
     CHECK(test.apply("b").revision == 2);
-    auto const entry = test.run(test.platform->read(platform::revision_key()));
+    auto const entry = test.run(test.platform->read(store::revision_key()));
     CHECK(entry->version == 2);
     CHECK(entry->value == "2");
 }
@@ -186,8 +186,8 @@
 TEST_CASE("a transaction takes effect whole or not at all")
 {
     table_store store;
-    platform::table_key const one{"t", "one"};
-    platform::table_key const two{"t", "two"};
+    store::table_key const one{"t", "one"};
+    store::table_key const two{"t", "two"};
     CHECK(store.commit({{{one, 0}}, {{one, "1"}}}).versions.at(0) == 1);
     auto const result =
         store.commit({{{one, 1}, {two, 5}}, {{one, "2"}, {two, "2"}}});
@@ -200,7 +200,7 @@
 TEST_CASE("a deleted key is absent and its old version never comes back")
 {
     table_store store;
-    platform::table_key const key{"t", "k"};
+    store::table_key const key{"t", "k"};
     store.commit({{}, {{key, "1"}}});
     store.commit({{}, {{key, std::nullopt}}});
     CHECK_FALSE(store.read(key).has_value());
