--- a/libs/config/include/config/gateway_settings.hpp
+++ b/libs/config/include/config/gateway_settings.hpp
@@ -41,7 +41,7 @@
     /// A run on another rack than its data's takes this many times as long.
     double remote_factor = 1;
     /// Time from the signal to stop until the process is killed.
-    milliseconds grace{6'000};
+    double grace_seconds = 6;
 };
 
 /// All settings of masticshiftd on the users' platform.
--- a/libs/config/src/gateway_settings.cpp
+++ b/libs/config/src/gateway_settings.cpp
@@ -20,6 +20,7 @@
 constexpr std::int64_t max_path_bytes = 4'096;
 constexpr std::int64_t max_processors = 1'024;
 constexpr std::int64_t max_remote_factor = 1'000;
+constexpr std::int64_t max_grace_seconds = 3'600;
 
 constexpr value_rule name_rule{.form = text_form::name};
 constexpr value_rule listen_rule{.form = text_form::listen_address};
@@ -52,7 +53,8 @@
     member_key<&gateway_bounds::stop>("stop_ms", optional, {1, minute_ms}),
     member_key<&gateway_bounds::remote_factor>("remote_factor", optional,
                                                {1, max_remote_factor}),
-    member_key<&gateway_bounds::grace>("grace_ms", optional, {0, minute_ms})};
+    member_key<&gateway_bounds::grace_seconds>("grace_seconds", optional,
+                                               {0, max_grace_seconds})};
 
 constexpr std::array log_keys{
     member_key<&log_settings::source>("source", optional, {0, 1'024}),
--- a/libs/dispatch/include/dispatch/dispatcher.hpp
+++ b/libs/dispatch/include/dispatch/dispatcher.hpp
@@ -89,10 +89,16 @@
     /// Endpoints that answer and take work.
     std::size_t usable() const;
 
+    /// Thousandths of a core that are free on endpoints that take work.
+    std::int64_t free_processor() const;
+
     /// Takes a job. Its end is told by `take_finished`. A live job of the same
     /// id ends as superseded, and the new one waits for its runs to stop.
     void submit(job_spec spec, std::string origin, time_point now);
 
+    /// Whether a job of this id and origin has not ended.
+    bool has_job(std::string const& id, std::string const& origin) const;
+
     /// Stops a job that its origin no longer answers for.
     void withdraw(std::string const& id, std::string const& origin,
                   time_point now);
--- a/libs/dispatch/include/dispatch/job.hpp
+++ b/libs/dispatch/include/dispatch/job.hpp
@@ -50,6 +50,8 @@
     milliseconds target_latency{0};
     /// How long the caller waits for the answer.
     milliseconds patience{0};
+    /// Refused with `busy_cell` unless all its first tasks can start at once.
+    bool only_if_idle = false;
 };
 
 /// How a job ended.
@@ -83,7 +85,9 @@
     not_dispatcher,
     /// The endpoint that ran a task was lost, too often.
     endpoint_lost,
-    out_of_time
+    out_of_time,
+    /// Another cell should have it.
+    busy_cell
 };
 
 char const* name_of(end_reason reason);
--- a/libs/dispatch/include/dispatch/peer_roster.hpp
+++ b/libs/dispatch/include/dispatch/peer_roster.hpp
@@ -28,22 +28,32 @@
                            entry_identity const&) = default;
 };
 
-/// An entry's statement that it dispatches.
+/// An entry's statement that it dispatches a cell.
 struct dispatch_claim
 {
+    std::string cell;
     std::int64_t token = 0;
     /// Endpoints that it can place tasks on.
     std::int64_t endpoints = 0;
+    /// Thousandths of a core that are free on endpoints it can place on.
+    std::int64_t free_processor = 0;
     /// Takes no new jobs and hands its endpoints over.
     bool retiring = false;
 };
 
+/// A cell and the entry that takes its jobs.
+struct cell_dispatcher
+{
+    std::string address;
+    dispatch_claim claim;
+};
+
 /// What entries tell each other several times a second.
 struct sign_of_life
 {
     entry_identity sender;
     bool leaving = false;
-    std::optional<dispatch_claim> claim;
+    std::vector<dispatch_claim> claims;
     std::int64_t configuration_version = 0;
     std::int64_t highest_token = 0;
     std::vector<entry_identity> known;
@@ -75,19 +85,26 @@
     /// Addresses to send the next sign of life to.
     std::vector<std::string> targets(time_point now);
 
-    /// The address of the entry that takes new jobs, this one's or another's.
-    std::optional<std::string> dispatcher(time_point now) const;
+    /// For each cell the entry that takes its new jobs, this one or another.
+    std::vector<cell_dispatcher> dispatchers(time_point now) const;
+
+    /// The address of the entry that takes new jobs of a cell.
+    std::optional<std::string> dispatcher_of(std::string const& cell,
+                                             time_point now) const;
 
-    /// An entry that still dispatches and hands its endpoints over.
-    std::optional<std::string> retiring_dispatcher(time_point now) const;
+    /// An entry that still dispatches a cell and hands its endpoints over.
+    bool is_retiring(std::string const& cell, time_point now) const;
 
-    /// Another entry that dispatches, retiring or not.
-    bool has_rival(time_point now) const;
+    /// Whether another entry dispatches the cell, retiring or not.
+    bool has_rival(std::string const& cell, time_point now) const;
 
-    bool should_claim(time_point now) const;
+    /// Whether this entry should dispatch the cell. Its data centre's entries
+    /// come first, then those without a cell, then the larger ones.
+    bool should_claim(std::string const& cell, std::string const& data_centre,
+                      time_point now) const;
 
-    /// Whether another entry should dispatch in place of this one.
-    bool should_retire(time_point now) const;
+    /// Whether another entry should dispatch the cell in place of this one.
+    bool should_retire(std::string const& cell, time_point now) const;
 
     /// A token higher than all that are known. `unix_seconds` keeps a process
     /// that has just started above its former life.
@@ -96,7 +113,8 @@
     /// Endpoints have seen a token that is not known here.
     void note_unknown_token();
 
-    void set_claim(std::optional<dispatch_claim> claim);
+    /// Replaces the claims of this entry.
+    void set_claims(std::vector<dispatch_claim> claims);
     void set_leaving();
     void set_configuration_version(std::int64_t version);
 
@@ -127,12 +145,14 @@
     };
 
     bool is_alive(peer const& known, time_point now) const;
-    bool outranks(entry_identity const& other) const;
+    template <class Function>
+    void for_each_claim(time_point now, Function const& function) const;
+    dispatch_claim const* own_claim(std::string const& cell) const;
 
     entry_identity self_;
     time_point started_;
     bool leaving_ = false;
-    std::optional<dispatch_claim> claim_;
+    std::vector<dispatch_claim> claims_;
     std::int64_t configuration_version_ = 0;
     std::int64_t highest_token_ = 0;
     std::int64_t token_step_ = 1;
--- a/libs/dispatch/src/dispatcher.cpp
+++ b/libs/dispatch/src/dispatcher.cpp
@@ -236,11 +236,29 @@
                               }));
 }
 
+std::int64_t dispatcher::free_processor() const
+{
+    std::int64_t free = 0;
+    for (auto const& [id, account] : impl_->accounts_)
+    {
+        if (account->takes_work())
+            free += account->free().processor;
+    }
+    return free;
+}
+
 void dispatcher::submit(job_spec spec, std::string origin, time_point now)
 {
     impl_->submit(std::move(spec), std::move(origin), now);
 }
 
+bool dispatcher::has_job(std::string const& id,
+                         std::string const& origin) const
+{
+    auto const found = impl_->jobs_.find(id);
+    return found != impl_->jobs_.end() && found->second->origin == origin;
+}
+
 void dispatcher::withdraw(std::string const& id, std::string const& origin,
                           time_point now)
 {
--- a/libs/dispatch/src/dispatcher_jobs.cpp
+++ b/libs/dispatch/src/dispatcher_jobs.cpp
@@ -60,6 +60,11 @@
         finish(job, {job_end::refused, end_reason::not_dispatcher}, now);
         return;
     }
+    if (job->spec.only_if_idle && !can_start_all(*job, now))
+    {
+        finish(job, {job_end::refused, end_reason::busy_cell}, now);
+        return;
+    }
     auto const refusal = refusal_of(*job, now);
     if (refusal)
     {
--- a/libs/dispatch/src/dispatcher_placement.cpp
+++ b/libs/dispatch/src/dispatcher_placement.cpp
@@ -32,19 +32,45 @@
     return largest;
 }
 
+bool dispatcher::impl::can_start_all(job_state const& job,
+                                     time_point now) const
+{
+    placement_choice const choice(accounts_, speeds_, limits_.remote_factor);
+    for (std::size_t number = 0; number < job.spec.steps.size(); ++number)
+    {
+        auto const& step = job.spec.steps[number];
+        if (!step.after.empty())
+            continue;
+        auto const places = choice.free_places(
+            job, step, static_cast<int>(number), job.objective, now);
+        if (places < step.task_count)
+            return false;
+    }
+    return true;
+}
+
 void dispatcher::impl::place(time_point now)
 {
-    auto const waiting = queue_.jobs();
-    for (auto const& [key, job] : waiting)
+    if (queue_.jobs().empty())
+        return;
+    auto largest = largest_free();
+    std::vector<job_ptr> placed;
+    for (auto const& [key, job] : queue_.jobs())
     {
         auto const& step = job->spec.steps.front();
-        if (job->spec.steps.size() == 1 &&
-            step.need.processor > largest_free())
+        if (largest <= 0)
+            break;
+        if (job->spec.steps.size() == 1 && step.need.processor > largest)
             continue;
+        auto const before = job->waiting_tasks;
         place_job(job, now);
+        if (job->waiting_tasks != before)
+            largest = largest_free();
         if (job->waiting_tasks == 0)
-            queue_.remove(*job);
+            placed.push_back(job);
     }
+    for (auto const& job : placed)
+        queue_.remove(*job);
 }
 
 void dispatcher::impl::place_job(job_ptr const& job, time_point now)
--- a/libs/dispatch/src/peer_roster.cpp
+++ b/libs/dispatch/src/peer_roster.cpp
@@ -1,5 +1,7 @@
 #include <dispatch/peer_roster.hpp>
 
+#include "stable_hash.hpp"
+
 #include <algorithm>
 #include <tuple>
 #include <utility>
@@ -30,18 +32,19 @@
 /// Tokens have to be exact in JSON, so that epochs count from 2026.
 constexpr std::int64_t first_epoch_second = 1'767'225'600;
 
-std::uint64_t fnv_hash(std::string const& text)
+/// Larger entries first, then an order that is the same everywhere.
+auto rank_of(entry_identity const& entry)
 {
-    std::uint64_t hash = 14'695'981'039'346'656'037ULL;
-    for (unsigned char const byte : text)
-        hash = (hash ^ byte) * 1'099'511'628'211ULL;
-    return hash;
+    return std::tuple(-entry.processor, stable_hash(entry.address));
 }
 
-/// Larger entries first, then an order that is the same everywhere.
-auto rank_of(entry_identity const& entry)
+/// The order in which entries take on a cell.
+auto rank_for(std::string const& cell, std::string const& data_centre,
+              entry_identity const& entry,
+              std::vector<dispatch_claim> const& claims)
 {
-    return std::tuple(-entry.processor, fnv_hash(entry.address));
+    return std::tuple(entry.data_centre != data_centre, !claims.empty(),
+                      -entry.processor, stable_hash(cell + entry.address));
 }
 
 } // namespace
@@ -74,8 +77,8 @@
         former.incarnation != sign.sender.incarnation && !entry.ended)
         ended_.push_back(former);
     entry = {sign, now, false};
-    if (sign.claim)
-        highest_token_ = std::max(highest_token_, sign.claim->token);
+    for (auto const& claim : sign.claims)
+        highest_token_ = std::max(highest_token_, claim.token);
 }
 
 void peer_roster::refused(std::string const& address)
@@ -125,7 +128,7 @@
     std::ranges::sort(alive, {},
                       [](peer const* each)
                       {
-                          return std::tuple(!each->sign.claim.has_value(),
+                          return std::tuple(each->sign.claims.empty(),
                                             rank_of(each->sign.sender));
                       });
     std::vector<std::string> chosen;
@@ -143,92 +146,122 @@
     return chosen;
 }
 
-std::optional<std::string> peer_roster::dispatcher(time_point now) const
+template <class Function>
+void peer_roster::for_each_claim(time_point now, Function const& function) const
 {
-    std::optional<std::string> best;
-    std::int64_t best_token = -1;
-    if (claim_ && !claim_->retiring)
-    {
-        best = self_.address;
-        best_token = claim_->token;
-    }
     for (auto const& [address, known] : peers_)
     {
-        auto const& claim = known.sign.claim;
-        if (!claim || claim->retiring || !is_alive(known, now) ||
-            claim->token <= best_token)
+        if (!is_alive(known, now))
             continue;
-        best = address;
-        best_token = claim->token;
+        for (auto const& claim : known.sign.claims)
+            function(known.sign.sender, claim);
     }
-    return best;
 }
 
-std::optional<std::string>
-peer_roster::retiring_dispatcher(time_point now) const
+dispatch_claim const* peer_roster::own_claim(std::string const& cell) const
 {
-    for (auto const& [address, known] : peers_)
+    auto const found =
+        std::ranges::find(claims_, cell, &dispatch_claim::cell);
+    return found == claims_.end() ? nullptr : &*found;
+}
+
+std::vector<cell_dispatcher> peer_roster::dispatchers(time_point now) const
+{
+    std::map<std::string, cell_dispatcher> best;
+    auto const consider =
+        [&](entry_identity const& entry, dispatch_claim const& claim)
     {
-        if (known.sign.claim && known.sign.claim->retiring &&
-            is_alive(known, now))
-            return address;
-    }
-    return std::nullopt;
+        if (claim.retiring)
+            return;
+        auto const known = best.find(claim.cell);
+        if (known == best.end() || known->second.claim.token < claim.token)
+            best[claim.cell] = {entry.address, claim};
+    };
+    for (auto const& claim : claims_)
+        consider(self_, claim);
+    for_each_claim(now, consider);
+    std::vector<cell_dispatcher> all;
+    for (auto& [cell, dispatcher] : best)
+        all.push_back(std::move(dispatcher));
+    return all;
 }
 
-bool peer_roster::has_rival(time_point now) const
+std::optional<std::string>
+peer_roster::dispatcher_of(std::string const& cell, time_point now) const
 {
-    return std::ranges::any_of(peers_,
-                               [&](auto const& each)
-                               {
-                                   return each.second.sign.claim &&
-                                          is_alive(each.second, now);
-                               });
+    for (auto const& each : dispatchers(now))
+    {
+        if (each.claim.cell == cell)
+            return each.address;
+    }
+    return std::nullopt;
 }
 
-bool peer_roster::outranks(entry_identity const& other) const
+bool peer_roster::is_retiring(std::string const& cell, time_point now) const
 {
-    return rank_of(self_) < rank_of(other);
+    bool retiring = false;
+    for_each_claim(now,
+                   [&](entry_identity const&, dispatch_claim const& claim)
+                   {
+                       retiring =
+                           retiring || (claim.retiring && claim.cell == cell);
+                   });
+    return retiring;
 }
 
-bool peer_roster::should_claim(time_point now) const
+bool peer_roster::has_rival(std::string const& cell, time_point now) const
 {
-    if (leaving_ || claim_ || now - started_ < settle_time ||
-        dispatcher(now).has_value())
-        return false;
-    return std::ranges::all_of(peers_,
-                               [&](auto const& each)
-                               {
-                                   return each.second.sign.leaving ||
-                                          !is_alive(each.second, now) ||
-                                          outranks(each.second.sign.sender);
-                               });
+    bool rival = false;
+    for_each_claim(now,
+                   [&](entry_identity const&, dispatch_claim const& claim)
+                   {
+                       rival = rival || claim.cell == cell;
+                   });
+    return rival;
 }
 
-bool peer_roster::should_retire(time_point now) const
+bool peer_roster::should_claim(std::string const& cell,
+                               std::string const& data_centre,
+                               time_point now) const
 {
-    if (!claim_ || claim_->retiring)
+    if (leaving_ || own_claim(cell) != nullptr ||
+        now - started_ < settle_time || dispatcher_of(cell, now))
         return false;
-    if (leaving_)
-        return true;
-    auto const own = std::tuple(claim_->endpoints, claim_->token);
-    return std::ranges::any_of(
+    auto const own = rank_for(cell, data_centre, self_, claims_);
+    return std::ranges::all_of(
         peers_,
         [&](auto const& each)
         {
-            auto const& claim = each.second.sign.claim;
-            return claim && !claim->retiring && is_alive(each.second, now) &&
-                   std::tuple(claim->endpoints, claim->token) > own;
+            auto const& sign = each.second.sign;
+            return sign.leaving || !is_alive(each.second, now) ||
+                   own < rank_for(cell, data_centre, sign.sender, sign.claims);
         });
 }
 
+bool peer_roster::should_retire(std::string const& cell, time_point now) const
+{
+    auto const* const own = own_claim(cell);
+    if (own == nullptr || own->retiring)
+        return false;
+    bool retire = leaving_;
+    for_each_claim(now,
+                   [&](entry_identity const&, dispatch_claim const& claim)
+                   {
+                       if (claim.cell == cell && !claim.retiring &&
+                           std::tuple(claim.endpoints, claim.token) >
+                               std::tuple(own->endpoints, own->token))
+                           retire = true;
+                   });
+    return retire;
+}
+
 std::int64_t peer_roster::next_token(std::int64_t unix_seconds) const
 {
     auto const epoch =
         std::max((highest_token_ >> entry_bits) + token_step_,
                  std::max<std::int64_t>(unix_seconds - first_epoch_second, 1));
     auto const entry =
-        static_cast<std::int64_t>(fnv_hash(self_.address)) & entry_mask;
+        static_cast<std::int64_t>(stable_hash(self_.address)) & entry_mask;
     return (epoch << entry_bits) | entry;
 }
 
@@ -238,11 +271,11 @@
     token_step_ = std::min(token_step_ * 2, largest_step);
 }
 
-void peer_roster::set_claim(std::optional<dispatch_claim> claim)
+void peer_roster::set_claims(std::vector<dispatch_claim> claims)
 {
-    claim_ = claim;
-    if (claim)
-        highest_token_ = std::max(highest_token_, claim->token);
+    claims_ = std::move(claims);
+    for (auto const& claim : claims_)
+        highest_token_ = std::max(highest_token_, claim.token);
 }
 
 void peer_roster::set_leaving()
@@ -260,7 +293,7 @@
     sign_of_life sign;
     sign.sender = self_;
     sign.leaving = leaving_;
-    sign.claim = claim_;
+    sign.claims = claims_;
     sign.configuration_version = configuration_version_;
     sign.highest_token = highest_token_;
     // One known entry at a time is enough for news to get around in seconds.
--- a/libs/dispatch/src/placement_choice.cpp
+++ b/libs/dispatch/src/placement_choice.cpp
@@ -96,6 +96,25 @@
     return best;
 }
 
+std::int64_t placement_choice::free_places(job_state const& job,
+                                           job_step const& step,
+                                           int step_number,
+                                           time_point finish_by,
+                                           time_point now) const
+{
+    std::int64_t places = 0;
+    for (auto const& [id, account] : accounts_)
+    {
+        if (!admits(*account, job, step, step_number, now) ||
+            account->health().trust(now) != endpoint_trust::full ||
+            now + expected_on(*account, job, step) > finish_by)
+            continue;
+        auto const need = std::max<std::int64_t>(step.need.processor, 1);
+        places += account->free().processor / need;
+    }
+    return places;
+}
+
 bool placement_choice::ever_fits(job_state const& job,
                                  job_step const& step) const
 {
--- a/libs/dispatch/src/placement_choice.hpp
+++ b/libs/dispatch/src/placement_choice.hpp
@@ -26,7 +26,7 @@
 class placement_choice
 {
 public:
-    placement_choice(account_map& accounts, speed_book const& speeds,
+    placement_choice(account_map const& accounts, speed_book const& speeds,
                      double remote_factor)
         : accounts_(accounts), speeds_(speeds), remote_factor_(remote_factor)
     {
@@ -39,6 +39,12 @@
     placement choose(job_state const& job, job_step const& step, int step_number,
                      time_point finish_by, time_point now) const;
 
+    /// How many tasks could start now on trusted endpoints, and end before
+    /// `finish_by`.
+    std::int64_t free_places(job_state const& job, job_step const& step,
+                             int step_number, time_point finish_by,
+                             time_point now) const;
+
     /// Whether some known endpoint could run the task if it were idle.
     bool ever_fits(job_state const& job, job_step const& step) const;
 
@@ -49,7 +55,7 @@
     bool admits(endpoint_account const& account, job_state const& job,
                 job_step const& step, int step_number, time_point now) const;
 
-    account_map& accounts_;
+    account_map const& accounts_;
     speed_book const& speeds_;
     double remote_factor_;
 };
--- /dev/null
+++ b/libs/dispatch/tests/cell_test.cpp
@@ -0,0 +1,83 @@
+#include "fleet_model.hpp"
+
+#include <dispatch/cell_choice.hpp>
+#include <dispatch/cell_layout.hpp>
+
+#include <doctest/doctest.h>
+
+#include <map>
+
+using namespace masticshift;
+using namespace masticshift::dispatch;
+
+namespace
+{
+
+std::vector<endpoint_record> make_endpoints(std::string const& data_centre,
+                                            int count)
+{
+    std::vector<endpoint_record> all;
+    for (int i = 0; i < count; ++i)
+    {
+        auto record = make_endpoint(data_centre + std::to_string(i));
+        record.data_centre = data_centre;
+        all.push_back(record);
+    }
+    return all;
+}
+
+cell_dispatcher make_cell(std::string cell, std::int64_t free_processor)
+{
+    cell_dispatcher made;
+    made.address = "entry of " + cell;
+    made.claim.cell = std::move(cell);
+    made.claim.free_processor = free_processor;
+    return made;
+}
+
+} // namespace
+
+TEST_CASE("a data centre with many endpoints has several cells of like size")
+{
+    auto const endpoints = make_endpoints("a", 117);
+    cell_layout const layout(endpoints);
+    REQUIRE(layout.cells().size() == 2);
+    std::map<std::string, int> sizes;
+    for (auto const& endpoint : endpoints)
+        ++sizes[layout.cell_of(endpoint)];
+    CHECK(sizes.size() == 2);
+    for (auto const& [name, size] : sizes)
+        CHECK(size > 30);
+    CHECK(cell_layout(make_endpoints("a", 16)).cells().size() == 1);
+    CHECK(cell_layout().cells().empty());
+}
+
+TEST_CASE("a job goes to the own data centre first, then to the most room")
+{
+    auto const job = make_spec("a", 2);
+    std::vector<cell_dispatcher> const cells{
+        make_cell("a/0/1", 0), make_cell("b/0/1", 20'000),
+        make_cell("c/0/1", 90'000)};
+    auto const first = choose_cell(cells, "a", job, {});
+    REQUIRE(first);
+    CHECK(first->cell == "a/0/1");
+    CHECK(first->only_if_idle);
+    auto const second = choose_cell(cells, "a", job, {"a/0/1"});
+    REQUIRE(second);
+    CHECK(second->cell == "c/0/1");
+    CHECK(second->only_if_idle);
+    auto const last = choose_cell(cells, "a", job, {"a/0/1", "c/0/1"});
+    REQUIRE(last);
+    CHECK(last->cell == "a/0/1");
+    CHECK_FALSE(last->only_if_idle);
+    CHECK_FALSE(choose_cell({}, "a", job, {}));
+}
+
+TEST_CASE("a job waits in the only cell there is")
+{
+    auto const choice =
+        choose_cell({make_cell("b/0/1", 0)}, "a", make_spec("a", 2), {});
+    REQUIRE(choice);
+    CHECK(choice->cell == "b/0/1");
+    CHECK_FALSE(choice->only_if_idle);
+}
--- /dev/null
+++ b/libs/dispatch/tests/dispatcher_test.cpp
@@ -0,0 +1,320 @@
+#include "fleet_model.hpp"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace masticshift;
+using namespace masticshift::dispatch;
+
+namespace
+{
+
+constexpr std::int64_t token = 100;
+constexpr milliseconds run_time{60};
+
+/// A dispatcher with one endpoint or more, and a clock that the test moves.
+struct bench
+{
+    explicit bench(int endpoints)
+    {
+        for (int i = 0; i < endpoints; ++i)
+        {
+            auto const id = "e" + std::to_string(i);
+            models.emplace(id, endpoint_model(make_endpoint(id)));
+            tested.update_endpoint(make_endpoint(id), now);
+            read(id);
+        }
+    }
+
+    std::int64_t clock() const
+    {
+        return std::chrono::duration_cast<milliseconds>(now - time_point{})
+            .count();
+    }
+
+    void read(std::string const& id)
+    {
+        auto const order = tested.next_list(id, now);
+        if (!order)
+            return;
+        run_list list;
+        auto const answer = models.at(id).list(*order, clock(), list);
+        if (answer == order_answer::accepted)
+            tested.list_answered(id, *order, list, clock(), now, now);
+        else
+            tested.list_failed(id, answer, now);
+    }
+
+    void read_all()
+    {
+        for (auto const& [id, model] : models)
+            read(id);
+    }
+
+    void carry_out(bool fail = false)
+    {
+        for (auto const& order : tested.take_starts())
+        {
+            auto const answer = models.at(order.endpoint)
+                                    .start(order, clock(), run_time, fail);
+            tested.start_answered(order, answer, clock(), now);
+        }
+        for (auto const& order : tested.take_stops())
+            tested.stop_answered(
+                order, models.at(order.endpoint).stop(order, clock()), now);
+    }
+
+    void pass(milliseconds length)
+    {
+        now += length;
+        tested.tick(now);
+    }
+
+    time_point now = time_point{} + std::chrono::seconds(100);
+    dispatcher tested{dispatch_limits{}, token};
+    std::map<std::string, endpoint_model> models;
+};
+
+} // namespace
+
+TEST_CASE("a job ends as completed when all its tasks are done")
+{
+    bench b(2);
+    b.tested.submit(make_spec("a", 4), "home", b.now);
+    b.carry_out();
+    CHECK(b.tested.runs() == 4);
+    b.pass(milliseconds(70));
+    b.read_all();
+    auto const finished = b.tested.take_finished();
+    REQUIRE(finished.size() == 1);
+    CHECK(finished[0].result.end == job_end::completed);
+    CHECK(b.tested.runs() == 0);
+}
+
+TEST_CASE("no endpoint gets more than it has room for")
+{
+    bench b(1);
+    b.tested.submit(make_spec("a", 5), "home", b.now);
+    auto const starts = b.tested.take_starts();
+    CHECK(starts.size() == 2);
+}
+
+TEST_CASE("a job that no endpoint could ever run is refused at once")
+{
+    bench b(1);
+    auto spec = make_spec("a", 1);
+    spec.steps[0].need.processor = 17'000;
+    b.tested.submit(spec, "home", b.now);
+    auto const finished = b.tested.take_finished();
+    REQUIRE(finished.size() == 1);
+    CHECK(finished[0].result.end == job_end::refused);
+    CHECK(finished[0].result.reason == end_reason::never_fits);
+    CHECK(finished[0].result.retry_after > milliseconds(0));
+}
+
+TEST_CASE("failed runs are repeated elsewhere up to the limit")
+{
+    bench b(3);
+    b.tested.submit(make_spec("a", 1), "home", b.now);
+    for (int run = 0; run < 3; ++run)
+    {
+        b.carry_out(true);
+        b.pass(milliseconds(70));
+        b.read_all();
+    }
+    auto const finished = b.tested.take_finished();
+    REQUIRE(finished.size() == 1);
+    CHECK(finished[0].result.end == job_end::failed);
+    CHECK(finished[0].result.reason == end_reason::attempts_exhausted);
+    std::size_t starts = 0;
+    for (auto const& [id, model] : b.models)
+    {
+        CHECK(model.starts().size() <= 1);
+        starts += model.starts().size();
+    }
+    CHECK(starts == 3);
+}
+
+TEST_CASE("a start without an answer is stopped before the task runs again")
+{
+    bench b(2);
+    b.tested.submit(make_spec("a", 1), "home", b.now);
+    auto const starts = b.tested.take_starts();
+    REQUIRE(starts.size() == 1);
+    b.tested.start_answered(starts[0], order_answer::unanswered, std::nullopt,
+                            b.now);
+    CHECK(b.tested.take_starts().empty());
+    auto const stops = b.tested.take_stops();
+    REQUIRE(stops.size() == 1);
+    CHECK(stops[0].run == starts[0].run);
+    auto& model = b.models.at(starts[0].endpoint);
+    b.tested.stop_answered(stops[0], model.stop(stops[0], b.clock()), b.now);
+    b.pass(milliseconds(60));
+    b.read_all();
+    auto const repeated = b.tested.take_starts();
+    REQUIRE(repeated.size() == 1);
+    CHECK(repeated[0].run.number > starts[0].run.number);
+    // The first order arrives late, after the stop.
+    CHECK(model.start(starts[0], b.clock(), run_time, false) ==
+          order_answer::run_too_old);
+}
+
+TEST_CASE("a task on a silent endpoint runs again only after its lease")
+{
+    bench b(2);
+    b.tested.submit(make_spec("a", 1), "home", b.now);
+    b.carry_out();
+    auto const silent = b.models.at("e0").running() == 1 ? "e0" : "e1";
+    auto const ended = b.now + milliseconds(1'000);
+    while (b.tested.take_starts().empty())
+    {
+        REQUIRE(b.now < ended + milliseconds(200));
+        // The other endpoint answers.
+        b.read(std::string(silent) == "e0" ? "e1" : "e0");
+        b.tested.take_stops();
+        b.pass(milliseconds(10));
+        b.tested.list_failed(silent, order_answer::unanswered, b.now);
+    }
+    CHECK(b.now >= ended);
+}
+
+TEST_CASE("the lease is not renewed while something foreign runs")
+{
+    bench b(1);
+    auto& model = b.models.at("e0");
+    start_order foreign{"e0", {"x.0.0.0", 1}, "", b.clock() + 900, token - 1};
+    // An endpoint that another dispatcher has used before.
+    bench fresh(0);
+    fresh.models.emplace("e0", endpoint_model(make_endpoint("e0")));
+    fresh.models.at("e0").start(foreign, fresh.clock(),
+                                milliseconds(5'000), false);
+    fresh.tested.update_endpoint(make_endpoint("e0"), fresh.now);
+    fresh.read("e0");
+    auto const stops = fresh.tested.take_stops();
+    REQUIRE(stops.size() == 1);
+    CHECK(stops[0].run == foreign.run);
+    auto const order = fresh.tested.next_list("e0", fresh.now);
+    REQUIRE(order.has_value());
+    CHECK_FALSE(order->lease_until.has_value());
+    fresh.tested.submit(make_spec("a", 1), "home", fresh.now);
+    CHECK(fresh.tested.take_starts().empty());
+    CHECK(model.running() == 0);
+}
+
+TEST_CASE("a withdrawn job is stopped and told as not run if nothing started")
+{
+    bench b(1);
+    b.tested.submit(make_spec("a", 2), "home", b.now);
+    b.carry_out();
+    b.tested.submit(make_spec("b", 2), "home", b.now);
+    b.tested.withdraw("a", "home", b.now);
+    b.tested.withdraw("b", "home", b.now);
+    auto const finished = b.tested.take_finished();
+    REQUIRE(finished.size() == 2);
+    CHECK(finished[0].result.end == job_end::unknown);
+    CHECK(finished[1].result.end == job_end::refused);
+    b.carry_out();
+    CHECK(b.models.at("e0").running() == 0);
+}
+
+TEST_CASE("jobs of an entry that is gone are stopped")
+{
+    bench b(1);
+    b.tested.submit(make_spec("a", 2), "gone", b.now);
+    b.carry_out();
+    b.tested.drop_origin("gone", b.now);
+    b.carry_out();
+    CHECK(b.models.at("e0").running() == 0);
+}
+
+TEST_CASE("the same id again waits until the former runs are over")
+{
+    bench b(2);
+    b.tested.submit(make_spec("a", 1), "home", b.now);
+    b.carry_out();
+    b.tested.submit(make_spec("a", 1), "other", b.now);
+    CHECK(b.tested.take_starts().empty());
+    auto const finished = b.tested.take_finished();
+    REQUIRE(finished.size() == 1);
+    CHECK(finished[0].origin == "home");
+    CHECK(finished[0].result.reason == end_reason::superseded);
+    b.carry_out();
+    b.read_all();
+    CHECK(b.tested.take_starts().size() == 1);
+}
+
+TEST_CASE("a draining endpoint gets no new work and ends what it has")
+{
+    bench b(1);
+    b.tested.submit(make_spec("a", 1), "home", b.now);
+    b.carry_out();
+    auto record = make_endpoint("e0");
+    record.stage = endpoint_stage::draining;
+    b.tested.update_endpoint(record, b.now);
+    b.tested.submit(make_spec("b", 1), "home", b.now);
+    CHECK(b.tested.take_starts().empty());
+    auto const order = b.tested.next_list("e0", b.now);
+    REQUIRE(order.has_value());
+    CHECK(order->lease_until.has_value());
+    b.pass(milliseconds(70));
+    b.read_all();
+    REQUIRE(b.tested.take_finished().size() >= 1);
+}
+
+TEST_CASE("a new life of an endpoint ends the runs of the former one")
+{
+    bench b(2);
+    b.tested.submit(make_spec("a", 1), "home", b.now);
+    b.carry_out();
+    auto const id = b.models.at("e0").running() == 1 ? "e0" : "e1";
+    b.models.at(id).restart(2'000);
+    b.read(id);
+    CHECK(b.tested.take_starts().size() == 1);
+}
+
+TEST_CASE("a job that waits too long is refused early and has not run")
+{
+    bench b(1);
+    b.tested.submit(make_spec("a", 40), "home", b.now);
+    b.tested.take_starts();
+    b.tested.submit(make_spec("b", 8), "home", b.now);
+    b.pass(milliseconds(45));
+    auto const finished = b.tested.take_finished();
+    REQUIRE(finished.size() == 1);
+    CHECK(finished[0].id == "b");
+    CHECK(finished[0].result.end == job_end::refused);
+    CHECK(finished[0].result.reason == end_reason::overloaded);
+}
+
+TEST_CASE("a retiring dispatcher refuses new jobs and gives up idle endpoints")
+{
+    bench b(2);
+    b.tested.submit(make_spec("a", 1), "home", b.now);
+    b.carry_out();
+    b.tested.retire(b.now);
+    b.tested.submit(make_spec("b", 1), "home", b.now);
+    auto const finished = b.tested.take_finished();
+    REQUIRE(finished.size() == 1);
+    CHECK(finished[0].result.reason == end_reason::not_dispatcher);
+    CHECK(b.tested.release_idle().size() == 1);
+    b.pass(milliseconds(70));
+    b.read_all();
+    REQUIRE(b.tested.take_finished().size() == 1);
+    CHECK(b.tested.release_idle().size() == 1);
+    CHECK(b.tested.endpoints() == 0);
+}
+
+TEST_CASE("a higher token takes over endpoints that refused the former")
+{
+    bench b(1);
+    start_order other{"e0", {"x.0.0.0", 1}, "", b.clock() + 500, token + 50};
+    b.models.at("e0").start(other, b.clock(), run_time, false);
+    b.tested.submit(make_spec("a", 1), "home", b.now);
+    b.carry_out();
+    CHECK(b.tested.outranked() == 1);
+    CHECK(b.tested.runs() == 0);
+    b.tested.raise_token(token + 100);
+    b.read("e0");
+    CHECK(b.tested.outranked() == 0);
+}
--- /dev/null
+++ b/libs/dispatch/tests/endpoint_registry_test.cpp
@@ -0,0 +1,69 @@
+#include "fleet_model.hpp"
+
+#include <dispatch/endpoint_registry.hpp>
+
+#include <doctest/doctest.h>
+
+using namespace masticshift;
+using namespace masticshift::dispatch;
+
+namespace
+{
+
+time_point const start = time_point{} + std::chrono::seconds(100);
+
+} // namespace
+
+TEST_CASE("a stale read does not bring an older record back")
+{
+    endpoint_registry tested;
+    auto draining = make_endpoint("e");
+    draining.stage = endpoint_stage::draining;
+    tested.put({draining, 7});
+    tested.put({make_endpoint("e"), 5});
+    auto const changes = tested.take_changes(start);
+    REQUIRE(changes.updated.size() == 1);
+    CHECK(changes.updated[0].stage == endpoint_stage::draining);
+}
+
+TEST_CASE("an endpoint is gone only after a readable store has lacked it")
+{
+    endpoint_registry tested;
+    tested.note_read(true, start);
+    tested.put({make_endpoint("e"), 1});
+    tested.take_changes(start);
+    tested.drop("e", 2, start);
+    auto const later = start + milliseconds(3'000);
+    SUBCASE("the store was away meanwhile")
+    {
+        tested.note_read(false, later - milliseconds(500));
+        tested.note_read(true, later - milliseconds(400));
+        CHECK(tested.take_changes(later).removed.empty());
+        CHECK(tested.take_changes(later + milliseconds(2'500)).removed.size() ==
+              1);
+    }
+    SUBCASE("it is registered again")
+    {
+        tested.put({make_endpoint("e"), 3});
+        CHECK(tested.take_changes(later).removed.empty());
+    }
+    SUBCASE("it stays away")
+    {
+        CHECK(tested.take_changes(start + milliseconds(2'000)).removed.empty());
+        CHECK(tested.take_changes(later).removed.size() == 1);
+    }
+}
+
+TEST_CASE("a whole read drops what it lacks")
+{
+    endpoint_registry tested;
+    tested.note_read(true, start);
+    tested.put({make_endpoint("a"), 1});
+    tested.put({make_endpoint("b"), 2});
+    tested.replace({{make_endpoint("a"), 1}}, 9, start);
+    tested.take_changes(start);
+    auto const later = start + milliseconds(3'000);
+    auto const changes = tested.take_changes(later);
+    REQUIRE(changes.removed.size() == 1);
+    CHECK(changes.removed[0] == "b");
+}
--- /dev/null
+++ b/libs/dispatch/tests/fleet_model.hpp
@@ -0,0 +1,219 @@
+#ifndef MASTICSHIFT_DISPATCH_FLEET_MODEL_HPP
+#define MASTICSHIFT_DISPATCH_FLEET_MODEL_HPP
+
+#include <dispatch/dispatcher.hpp>
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace masticshift::dispatch
+{
+
+/// Endpoints in memory that obey leases, tokens and run numbers as the real
+/// ones do. The tests decide which calls are lost or late.
+class endpoint_model
+{
+public:
+    explicit endpoint_model(endpoint_record record)
+        : record_(std::move(record))
+    {
+    }
+
+    endpoint_record const& record() const
+    {
+        return record_;
+    }
+
+    order_answer start(start_order const& order, std::int64_t clock,
+                       duration length, bool fails)
+    {
+        lapse(clock);
+        if (order.token < token_)
+            return order_answer::outranked;
+        token_ = order.token;
+        if (order.lease_until < clock)
+            return order_answer::too_late;
+        extend(order.lease_until, clock);
+        if (running_.contains(order.run))
+            return order_answer::accepted;
+        auto const last = last_number_.find(order.run.task);
+        if (last != last_number_.end() && order.run.number <= last->second)
+            return order_answer::run_too_old;
+        auto const ms = std::chrono::duration_cast<milliseconds>(length);
+        running_[order.run] = {clock, clock + ms.count(), fails};
+        starts_.push_back(order.run);
+        return order_answer::accepted;
+    }
+
+    order_answer stop(stop_order const& order, std::int64_t clock)
+    {
+        lapse(clock);
+        if (order.token < token_)
+            return order_answer::outranked;
+        token_ = order.token;
+        auto& last = last_number_[order.run.task];
+        last = std::max(last, order.run.number);
+        if (running_.erase(order.run) > 0)
+            note_end(order.run, run_end::stopped);
+        return order_answer::accepted;
+    }
+
+    order_answer list(list_order const& order, std::int64_t clock,
+                      run_list& list)
+    {
+        lapse(clock);
+        if (order.token < token_)
+            return order_answer::outranked;
+        token_ = order.token;
+        if (order.lease_until)
+            extend(*order.lease_until, clock);
+        std::erase_if(ended_,
+                      [&](ended_run const& ended)
+                      {
+                          return ended.number <= order.acknowledged_end;
+                      });
+        for (auto const& [key, run] : running_)
+            list.active.push_back({key, 0});
+        list.ended = ended_;
+        list.started_ms = record_.started_ms;
+        return order_answer::accepted;
+    }
+
+    /// Ends what is done or without a lease by this time.
+    void lapse(std::int64_t clock)
+    {
+        for (auto each = running_.begin(); each != running_.end();)
+        {
+            auto const& [key, run] = *each;
+            auto const next = std::next(each);
+            if (run.done_at <= std::min(clock, lease_until_))
+                finish(each, run.fails ? run_end::failed : run_end::done);
+            else if (lease_until_ <= clock)
+                finish(each, run_end::lapsed);
+            each = next;
+        }
+    }
+
+    bool runs_task(std::string const& task, std::int64_t clock)
+    {
+        lapse(clock);
+        return std::ranges::any_of(running_,
+                                   [&](auto const& each)
+                                   {
+                                       return each.first.task == task;
+                                   });
+    }
+
+    std::size_t running() const
+    {
+        return running_.size();
+    }
+
+    std::vector<std::string> running_tasks(std::int64_t clock)
+    {
+        lapse(clock);
+        std::vector<std::string> tasks;
+        for (auto const& [key, run] : running_)
+            tasks.push_back(key.task);
+        return tasks;
+    }
+
+    std::vector<run_key> const& starts() const
+    {
+        return starts_;
+    }
+
+    std::int64_t lease_until() const
+    {
+        return lease_until_;
+    }
+
+    /// Dies and starts again under the same id, with nothing of before.
+    void restart(std::int64_t started_ms)
+    {
+        record_.started_ms = started_ms;
+        running_.clear();
+        ended_.clear();
+        last_number_.clear();
+        token_ = 0;
+        next_end_ = 1;
+        lease_until_ = 0;
+    }
+
+private:
+    struct run
+    {
+        std::int64_t started = 0;
+        std::int64_t done_at = 0;
+        bool fails = false;
+    };
+
+    static constexpr std::int64_t longest_lease = 1'000;
+
+    void extend(std::int64_t until, std::int64_t clock)
+    {
+        lease_until_ =
+            std::max(lease_until_, std::min(until, clock + longest_lease));
+    }
+
+    void finish(std::map<run_key, run>::iterator place, run_end end)
+    {
+        auto const key = place->first;
+        running_.erase(place);
+        note_end(key, end);
+    }
+
+    void note_end(run_key const& key, run_end end)
+    {
+        auto& last = last_number_[key.task];
+        last = std::max(last, key.number);
+        ended_.push_back({next_end_++, key, end});
+    }
+
+    endpoint_record record_;
+    std::int64_t token_ = 0;
+    std::int64_t lease_until_ = 0;
+    std::int64_t next_end_ = 1;
+    std::map<run_key, run> running_;
+    std::vector<ended_run> ended_;
+    std::map<std::string, std::int64_t> last_number_;
+    std::vector<run_key> starts_;
+};
+
+inline endpoint_record make_endpoint(std::string const& id)
+{
+    endpoint_record record;
+    record.id = id;
+    record.vm = "vm-" + id;
+    record.ip = "127.0.0.1";
+    record.port = 1;
+    record.service = "orders";
+    record.capacity = {16'000, 32'768, 0};
+    record.slots = 8;
+    record.started_ms = 1'000;
+    return record;
+}
+
+inline job_spec make_spec(std::string id, int tasks)
+{
+    job_spec spec;
+    spec.id = std::move(id);
+    job_step step;
+    step.task_count = tasks;
+    step.need = {6'800, 64, 0};
+    step.estimate = milliseconds(60);
+    spec.steps.push_back(step);
+    spec.queue = "quotes";
+    spec.service = "orders";
+    spec.max_attempts = 3;
+    spec.slack_factor = 1.6;
+    spec.target_latency = milliseconds(60);
+    spec.patience = milliseconds(5'000);
+    return spec;
+}
+
+} // namespace masticshift::dispatch
+
+#endif
--- /dev/null
+++ b/libs/dispatch/tests/interleaving_test.cpp
@@ -0,0 +1,338 @@
+#include "fleet_model.hpp"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <memory>
+#include <random>
+#include <set>
+
+using namespace masticshift;
+using namespace masticshift::dispatch;
+
+namespace
+{
+
+constexpr milliseconds step{5};
+
+/// A caller sends its job again this long after a lost answer.
+constexpr milliseconds resend{1'300};
+
+/// Entries take a silent peer for dead after this time.
+constexpr milliseconds dead_after{450};
+
+/// Orders that a fault delays are carried out within this time.
+constexpr int longest_delay_ms = 12'000;
+
+/// What a run of the model goes through, in percent of the occasions.
+struct fault_rates
+{
+    int lost_answers = 0;
+    int late_orders = 0;
+    int failed_runs = 0;
+};
+
+/// Dispatchers that follow each other, endpoints with clocks of their own, and
+/// callers that send their jobs again.
+class world
+{
+public:
+    world(unsigned seed, fault_rates rates) : random_(seed), rates_(rates)
+    {
+        for (int i = 0; i < 4; ++i)
+        {
+            auto const id = "e" + std::to_string(i);
+            endpoints_.push_back({endpoint_model(make_endpoint(id)),
+                                  0.98 + 0.005 * i});
+        }
+        begin_dispatcher();
+    }
+
+    void run(milliseconds length)
+    {
+        for (auto const end = now_ + length; now_ < end; now_ += step)
+        {
+            maybe_submit();
+            maybe_break();
+            carry_out_late();
+            if (dispatcher_ && now_ >= frozen_until_)
+                work();
+            check();
+        }
+    }
+
+    bool ran_twice() const
+    {
+        return ran_twice_;
+    }
+
+    std::size_t starts() const
+    {
+        std::size_t count = 0;
+        for (auto const& endpoint : endpoints_)
+            count += endpoint.model.starts().size();
+        return count;
+    }
+
+private:
+    struct endpoint
+    {
+        endpoint_model model;
+        double rate = 1;
+        time_point read_at{};
+    };
+
+    struct late_order
+    {
+        time_point at;
+        std::size_t endpoint = 0;
+        std::optional<start_order> start;
+        std::optional<stop_order> stop;
+    };
+
+    bool chance(int percent)
+    {
+        return std::uniform_int_distribution(0, 99)(random_) < percent;
+    }
+
+    int pick(int least, int most)
+    {
+        return std::uniform_int_distribution(least, most)(random_);
+    }
+
+    std::int64_t clock(endpoint const& of) const
+    {
+        return static_cast<std::int64_t>(
+            to_milliseconds(now_ - time_point{}) * of.rate);
+    }
+
+    endpoint& find(std::string const& id)
+    {
+        return endpoints_[static_cast<std::size_t>(id[1] - '0')];
+    }
+
+    void begin_dispatcher()
+    {
+        token_ += 100;
+        dispatcher_ = std::make_unique<dispatcher>(dispatch_limits{}, token_);
+        for (auto const& endpoint : endpoints_)
+            dispatcher_->update_endpoint(endpoint.model.record(), now_);
+    }
+
+    void maybe_submit()
+    {
+        if (dispatcher_ && open_.size() < 6 && chance(20))
+        {
+            auto const id = "job" + std::to_string(next_id_++);
+            open_.insert(id);
+            submit(id);
+        }
+        for (auto each = resends_.begin(); each != resends_.end();)
+        {
+            if (now_ < each->second || !dispatcher_)
+            {
+                ++each;
+                continue;
+            }
+            open_.insert(each->first);
+            submit(each->first);
+            each = resends_.erase(each);
+        }
+    }
+
+    void submit(std::string const& id)
+    {
+        auto spec = make_spec(id, 3);
+        spec.steps[0].estimate = milliseconds(run_length(id).count());
+        spec.slack_factor = 20;
+        dispatcher_->submit(std::move(spec), "home", now_);
+    }
+
+    /// Some jobs outlast a lease.
+    static milliseconds run_length(std::string const& id)
+    {
+        return milliseconds(id.back() % 4 == 0 ? 1'500 : 100);
+    }
+
+    /// The dispatcher dies, freezes, or is cut off from its homes.
+    void maybe_break()
+    {
+        if (!dispatcher_)
+        {
+            if (now_ >= follower_at_)
+                begin_dispatcher();
+            return;
+        }
+        if (now_ < frozen_until_ || !chance(1) || !chance(30))
+            return;
+        for (auto const& id : open_)
+            resends_[id] = now_ + dead_after / 2 + resend;
+        open_.clear();
+        if (chance(50))
+        {
+            dispatcher_.reset();
+            follower_at_ = now_ + dead_after;
+            return;
+        }
+        // It comes back while a follower dispatches: its homes are lost to it,
+        // and its token is outranked.
+        former_ = std::move(dispatcher_);
+        former_until_ = now_ + milliseconds(pick(0, 3'000));
+        former_wakes_ = now_ + milliseconds(pick(0, 1'500));
+        former_drops_ = now_ + dead_after;
+        follower_at_ = now_ + dead_after;
+    }
+
+    void work()
+    {
+        drive(*dispatcher_);
+        for (auto const& job : dispatcher_->take_finished())
+        {
+            open_.erase(job.id);
+            if (job.result.end == job_end::unknown &&
+                job.result.reason != end_reason::superseded)
+                resends_[job.id] = now_ + resend;
+        }
+    }
+
+    void drive(dispatcher& driven)
+    {
+        driven.tick(now_);
+        for (auto const& order : driven.take_starts())
+            send_start(driven, order);
+        for (auto const& order : driven.take_stops())
+            send_stop(driven, order);
+        for (auto& endpoint : endpoints_)
+            read(driven, endpoint);
+    }
+
+    void send_start(dispatcher& from, start_order const& order)
+    {
+        auto& to = find(order.endpoint);
+        if (chance(rates_.late_orders))
+        {
+            late_.push_back({now_ + milliseconds(pick(0, longest_delay_ms)),
+                             static_cast<std::size_t>(order.endpoint[1] - '0'),
+                             order, std::nullopt});
+            from.start_answered(order, order_answer::unanswered, std::nullopt,
+                                now_);
+            return;
+        }
+        auto const length = run_length(order.run.task.substr(
+            0, order.run.task.find('.')));
+        auto const answer = to.model.start(order, clock(to), length,
+                                           chance(rates_.failed_runs));
+        if (chance(rates_.lost_answers))
+            from.start_answered(order, order_answer::unanswered, std::nullopt,
+                                now_);
+        else
+            from.start_answered(order, answer, clock(to), now_);
+    }
+
+    void send_stop(dispatcher& from, stop_order const& order)
+    {
+        auto& to = find(order.endpoint);
+        if (chance(rates_.late_orders))
+        {
+            late_.push_back({now_ + milliseconds(pick(0, longest_delay_ms)),
+                             static_cast<std::size_t>(order.endpoint[1] - '0'),
+                             std::nullopt, order});
+            return;
+        }
+        auto const answer = to.model.stop(order, clock(to));
+        if (!chance(rates_.lost_answers))
+            from.stop_answered(order, answer, now_);
+    }
+
+    void read(dispatcher& from, endpoint& to)
+    {
+        auto const id = to.model.record().id;
+        auto const order = from.next_list(id, now_);
+        if (!order)
+            return;
+        run_list list;
+        auto const answer = to.model.list(*order, clock(to), list);
+        if (chance(rates_.lost_answers))
+            from.list_failed(id, order_answer::unanswered, now_);
+        else if (answer != order_answer::accepted)
+            from.list_failed(id, answer, now_);
+        else
+            from.list_answered(id, *order, list, clock(to), now_, now_);
+    }
+
+    void carry_out_late()
+    {
+        for (auto each = late_.begin(); each != late_.end();)
+        {
+            if (now_ < each->at)
+            {
+                ++each;
+                continue;
+            }
+            auto& to = endpoints_[each->endpoint];
+            if (each->start)
+                to.model.start(*each->start, clock(to), milliseconds(300),
+                               false);
+            if (each->stop)
+                to.model.stop(*each->stop, clock(to));
+            each = late_.erase(each);
+        }
+        if (!former_ || now_ < former_wakes_)
+            return;
+        if (now_ >= former_drops_)
+            former_->drop_origin("home", now_);
+        drive(*former_);
+        former_->take_finished();
+        if (now_ >= former_until_)
+            former_.reset();
+    }
+
+    void check()
+    {
+        std::set<std::string> seen;
+        for (auto& endpoint : endpoints_)
+        {
+            for (auto const& task : endpoint.model.running_tasks(
+                     clock(endpoint)))
+                ran_twice_ = ran_twice_ || !seen.insert(task).second;
+        }
+    }
+
+    std::mt19937 random_;
+    fault_rates rates_;
+    time_point now_ = time_point{} + std::chrono::seconds(1'000);
+    std::vector<endpoint> endpoints_;
+    std::unique_ptr<dispatcher> dispatcher_;
+    std::int64_t token_ = 0;
+    time_point follower_at_{};
+    time_point frozen_until_{};
+    std::unique_ptr<dispatcher> former_;
+    time_point former_wakes_{};
+    time_point former_until_{};
+    time_point former_drops_{};
+    std::set<std::string> open_;
+    std::map<std::string, time_point> resends_;
+    std::vector<late_order> late_;
+    int next_id_ = 0;
+    bool ran_twice_ = false;
+};
+
+} // namespace
+
+TEST_CASE("no interleaving of faults and resent jobs runs a task twice at once")
+{
+    auto const held = rc::check(
+        "one run of a task at a time",
+        [](unsigned seed)
+        {
+            fault_rates const rates{*rc::gen::inRange(0, 15),
+                                    *rc::gen::inRange(0, 15),
+                                    *rc::gen::inRange(0, 10)};
+            world tested(seed, rates);
+            tested.run(milliseconds(15'000));
+            RC_ASSERT(tested.starts() > 0U);
+            RC_ASSERT_FALSE(tested.ran_twice());
+        });
+    CHECK(held);
+}
--- /dev/null
+++ b/libs/dispatch/tests/lease_clock_test.cpp
@@ -0,0 +1,26 @@
+#include <dispatch/lease_clock.hpp>
+
+#include <doctest/doctest.h>
+
+using namespace masticshift;
+using namespace masticshift::dispatch;
+
+TEST_CASE("a lease is taken for over only when a slow clock has passed it")
+{
+    lease_clock tested;
+    time_point const now = time_point{} + std::chrono::seconds(10);
+    tested.observe(5'000, now);
+    auto const until = tested.lease_end(now, milliseconds(1'000));
+    CHECK(until == 6'000);
+    // The endpoint's clock runs 2 % slow.
+    CHECK(tested.passed(until) >= now + milliseconds(1'020));
+}
+
+TEST_CASE("an answer that was overtaken does not move the clock back")
+{
+    lease_clock tested;
+    time_point const now = time_point{} + std::chrono::seconds(10);
+    tested.observe(5'000, now);
+    tested.observe(4'000, now + milliseconds(10));
+    CHECK(tested.lease_end(now, milliseconds(0)) == 5'000);
+}
--- /dev/null
+++ b/libs/dispatch/tests/peer_roster_test.cpp
@@ -0,0 +1,145 @@
+#include <dispatch/peer_roster.hpp>
+
+#include <doctest/doctest.h>
+
+using namespace masticshift;
+using namespace masticshift::dispatch;
+
+namespace
+{
+
+time_point const start = time_point{} + std::chrono::seconds(100);
+time_point const settled = start + milliseconds(800);
+
+entry_identity make_entry(std::string address, int processor = 250,
+                          std::int64_t incarnation = 1)
+{
+    return {std::move(address), incarnation, "dc", processor};
+}
+
+std::string const cell = "dc/0/1";
+
+dispatch_claim make_claim(std::int64_t token, std::int64_t endpoints,
+                          bool retiring = false)
+{
+    dispatch_claim claim;
+    claim.cell = cell;
+    claim.token = token;
+    claim.endpoints = endpoints;
+    claim.retiring = retiring;
+    return claim;
+}
+
+sign_of_life make_sign(entry_identity sender,
+                       std::optional<dispatch_claim> claim = std::nullopt)
+{
+    sign_of_life sign;
+    sign.sender = std::move(sender);
+    if (claim)
+        sign.claims.push_back(*claim);
+    return sign;
+}
+
+} // namespace
+
+TEST_CASE("the largest live entry claims, after it has listened for a while")
+{
+    peer_roster large(make_entry("10.0.0.1:1", 500), start);
+    peer_roster small(make_entry("10.0.0.2:1", 250), start);
+    large.heard(make_sign(small.self()), settled);
+    small.heard(make_sign(large.self()), settled);
+    CHECK_FALSE(large.should_claim(cell, "dc", start + milliseconds(100)));
+    CHECK(large.should_claim(cell, "dc", settled));
+    CHECK_FALSE(small.should_claim(cell, "dc", settled));
+    CHECK(small.should_claim(cell, "dc", settled + milliseconds(500)));
+}
+
+TEST_CASE("nobody claims beside a live dispatcher")
+{
+    peer_roster tested(make_entry("10.0.0.1:1", 500), start);
+    tested.heard(make_sign(make_entry("10.0.0.2:1"), make_claim(9, 3)),
+                 settled);
+    CHECK_FALSE(tested.should_claim(cell, "dc", settled));
+    CHECK(tested.dispatcher_of(cell, settled) == "10.0.0.2:1");
+    CHECK(tested.should_claim(cell, "dc", settled + milliseconds(500)));
+}
+
+TEST_CASE("a follower claims at once when the dispatcher retires")
+{
+    peer_roster tested(make_entry("10.0.0.1:1"), start);
+    auto sign = make_sign(make_entry("10.0.0.2:1", 500),
+                          make_claim(9, 3, true));
+    sign.leaving = true;
+    tested.heard(sign, settled);
+    CHECK(tested.should_claim(cell, "dc", settled));
+    CHECK(tested.is_retiring(cell, settled));
+}
+
+TEST_CASE("of two dispatchers the one with fewer endpoints gives way")
+{
+    peer_roster tested(make_entry("10.0.0.1:1"), start);
+    tested.set_claims({make_claim(50, 16)});
+    auto const rival = make_entry("10.0.0.2:1");
+    tested.heard(make_sign(rival, make_claim(9, 32)), settled);
+    CHECK(tested.should_retire(cell, settled));
+    tested.heard(make_sign(rival, make_claim(99, 15)), settled);
+    CHECK_FALSE(tested.should_retire(cell, settled));
+}
+
+TEST_CASE("a token is above all that are known, and above a former life's")
+{
+    peer_roster tested(make_entry("10.0.0.1:1"), start);
+    constexpr std::int64_t later_second = 1'800'000'000;
+    auto const first = tested.next_token(later_second);
+    CHECK(tested.next_token(later_second + 1) > first);
+    tested.heard(make_sign(make_entry("10.0.0.2:1"),
+                           make_claim(first + (1LL << 40), 1)),
+                 settled);
+    auto const higher = tested.next_token(later_second);
+    CHECK(higher > first + (1LL << 40));
+    constexpr std::int64_t exact_in_json = 1LL << 53;
+    CHECK(first < exact_in_json);
+    peer_roster other(make_entry("10.0.0.3:1"), start);
+    CHECK(other.next_token(later_second) != first);
+}
+
+TEST_CASE("a new incarnation ends the former one")
+{
+    peer_roster tested(make_entry("10.0.0.1:1"), start);
+    auto const address = "10.0.0.2:1";
+    tested.heard(make_sign(make_entry(address, 250, 1)), settled);
+    CHECK(tested.take_ended(settled).empty());
+    tested.heard(make_sign(make_entry(address, 250, 2)), settled);
+    auto const ended = tested.take_ended(settled);
+    REQUIRE(ended.size() == 1);
+    CHECK(ended[0].incarnation == 1);
+    // A delayed sign of the former life changes nothing.
+    tested.heard(make_sign(make_entry(address, 250, 1)), settled);
+    CHECK(tested.take_ended(settled).empty());
+}
+
+TEST_CASE("silence ends a life once")
+{
+    peer_roster tested(make_entry("10.0.0.1:1"), start);
+    tested.heard(make_sign(make_entry("10.0.0.2:1")), settled);
+    auto const later = settled + milliseconds(460);
+    CHECK(tested.take_ended(later).size() == 1);
+    CHECK(tested.take_ended(later).empty());
+    CHECK_FALSE(tested.is_alive("10.0.0.2:1", later));
+}
+
+TEST_CASE("the data centre's own entries dispatch its cells, one each")
+{
+    peer_roster tested(make_entry("10.0.0.1:1"), start);
+    auto far = make_entry("10.0.0.2:1", 500);
+    far.data_centre = "far";
+    tested.heard(make_sign(far), settled);
+    CHECK(tested.should_claim(cell, "dc", settled));
+    CHECK_FALSE(tested.should_claim("far/0/1", "far", settled));
+    // A second cell goes to an entry that has none.
+    auto claim = make_claim(7, 3);
+    claim.cell = "dc/1/2";
+    tested.set_claims({claim});
+    tested.heard(make_sign(make_entry("10.0.0.3:1")), settled);
+    CHECK_FALSE(tested.should_claim("dc/0/2", "dc", settled));
+}
--- /dev/null
+++ b/libs/dispatch/tests/speed_book_test.cpp
@@ -0,0 +1,42 @@
+#include <dispatch/speed_book.hpp>
+
+#include <doctest/doctest.h>
+
+using namespace masticshift;
+using namespace masticshift::dispatch;
+
+TEST_CASE("speeds of VMs are told apart from estimates that are off")
+{
+    speed_book tested;
+    constexpr milliseconds estimate{50};
+    for (int i = 0; i < 40; ++i)
+    {
+        tested.observe("q", "fast", estimate, milliseconds(100));
+        tested.observe("q", "slow", estimate, milliseconds(220));
+    }
+    auto const fast = tested.expected("q", "fast", estimate);
+    auto const slow = tested.expected("q", "slow", estimate);
+    CHECK(to_milliseconds(fast) == doctest::Approx(100).epsilon(0.1));
+    CHECK(to_milliseconds(slow) == doctest::Approx(220).epsilon(0.1));
+    CHECK(tested.speed("fast") > tested.speed("slow"));
+}
+
+TEST_CASE("a run that goes on too long slows its VM down before it ends")
+{
+    speed_book tested;
+    tested.observe("q", "vm", milliseconds(50), milliseconds(50));
+    tested.observe("q", "vm", milliseconds(50), milliseconds(50));
+    tested.observe_at_least("q", "vm", milliseconds(50), milliseconds(30));
+    CHECK(tested.speed("vm") == doctest::Approx(1));
+    tested.observe_at_least("q", "vm", milliseconds(50), milliseconds(500));
+    CHECK(tested.speed("vm") < 1);
+}
+
+TEST_CASE("a told speed does not replace one that was learnt")
+{
+    speed_book tested;
+    tested.adopt("a", 0.5);
+    CHECK(tested.speed("a") == doctest::Approx(0.5));
+    tested.adopt("a", 2);
+    CHECK(tested.speed("a") == doctest::Approx(0.5));
+}
--- /dev/null
+++ b/libs/gateway/src/cell_host.cpp
@@ -0,0 +1,333 @@
+#include "cell_host.hpp"
+
+#include "decision_log.hpp"
+#include "peer_wire.hpp"
+
+#include <core/log.hpp>
+
+#include <chrono>
+
+namespace masticshift::gateway
+{
+
+namespace
+{
+
+/// Time by which a dispatcher that retires has given up its endpoints. Nearly
+/// all tasks of the deployments end within it.
+constexpr milliseconds retire_limit{3'000};
+
+/// Time in which a follower waits for the endpoints of a retiring dispatcher.
+constexpr milliseconds release_limit{4'000};
+
+/// Pause between two raises of the token, so that the answers to one are in.
+constexpr milliseconds raise_interval{300};
+
+/// Learnt speeds move slowly.
+constexpr milliseconds speeds_interval{1'000};
+constexpr milliseconds peer_timeout{400};
+
+std::int64_t unix_seconds()
+{
+    auto const now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::seconds>(now).count();
+}
+
+dispatch::dispatch_limits limits_of(config::gateway_bounds const& bounds)
+{
+    return {bounds.longest_lease, bounds.stop, bounds.remote_factor};
+}
+
+} // namespace
+
+cell_host::cell_host(shared_state& state, transport::http_client& endpoints,
+                     peer_link::peer_client& peers,
+                     asio::any_io_executor executor, std::string cell)
+    : state_(state),
+      endpoints_(endpoints),
+      peers_(peers),
+      executor_(std::move(executor)),
+      cell_(std::move(cell)),
+      dispatcher_(std::make_unique<dispatch::dispatcher>(
+          limits_of(state.settings.bounds),
+          state.roster.next_token(unix_seconds()))),
+      begun_(steady_clock::now())
+{
+    for (auto const& [vm, speed] : state_.learnt_speeds)
+        dispatcher_->speeds().adopt(vm, speed);
+    log_event(log_level::info, "dispatch_begun",
+              {{"cell", cell_}, {"token", dispatcher_->token()}});
+}
+
+void cell_host::step(time_point now)
+{
+    if (retiring_)
+        hand_over();
+    else
+        raise_token(now);
+    add_endpoints(now);
+    dispatcher_->tick(now);
+    flush();
+    share_speeds(now);
+}
+
+void cell_host::stop(time_point now)
+{
+    dispatcher_->resign(now);
+    flush();
+    stopped_ = true;
+    for (auto const& [id, wake] : loops_)
+        wake->cancel();
+    auto const next = state_.roster.dispatcher_of(cell_, now);
+    if (next && *next != state_.roster.self().address)
+        asio::co_spawn(executor_,
+                       send_release(shared_from_this(), *next, {}, true),
+                       asio::detached);
+    log_event(log_level::info, "dispatch_ended", {{"cell", cell_}});
+}
+
+void cell_host::retire(time_point now)
+{
+    if (std::exchange(retiring_, true))
+        return;
+    retiring_since_ = now;
+    dispatcher_->retire(now);
+    log_event(log_level::info, "dispatch_retiring",
+              {{"cell", cell_},
+               {"jobs", dispatcher_->jobs()},
+               {"runs", dispatcher_->runs()}});
+    flush();
+}
+
+void cell_host::hand_over()
+{
+    auto released = dispatcher_->release_idle();
+    if (released.empty())
+        return;
+    for (auto const& endpoint : released)
+    {
+        loops_.erase(endpoint);
+        records_.erase(endpoint);
+    }
+    auto const next =
+        state_.roster.dispatcher_of(cell_, steady_clock::now());
+    if (next && *next != state_.roster.self().address)
+        asio::co_spawn(executor_,
+                       send_release(shared_from_this(), *next,
+                                    std::move(released), false),
+                       asio::detached);
+}
+
+bool cell_host::is_handed_over(time_point now) const
+{
+    return retiring_ && (dispatcher_->endpoints() == 0 ||
+                         now - retiring_since_ > retire_limit);
+}
+
+void cell_host::raise_token(time_point now)
+{
+    if (dispatcher_->outranked() == 0 || now - token_raised_ < raise_interval ||
+        state_.roster.has_rival(cell_, now))
+        return;
+    token_raised_ = now;
+    state_.roster.note_unknown_token();
+    auto const token = state_.roster.next_token(unix_seconds());
+    log_event(log_level::info, "token_raised",
+              {{"cell", cell_},
+               {"token", token},
+               {"outranked", dispatcher_->outranked()}});
+    dispatcher_->raise_token(token);
+}
+
+bool cell_host::may_take(std::string const& endpoint, time_point now) const
+{
+    return all_released_ || released_.contains(endpoint) ||
+           now - begun_ > release_limit ||
+           !state_.roster.is_retiring(cell_, now);
+}
+
+void cell_host::add_endpoints(time_point now)
+{
+    if (retiring_ || loops_.size() == records_.size())
+        return;
+    for (auto const& [id, record] : records_)
+    {
+        if (loops_.contains(id) || !may_take(id, now))
+            continue;
+        dispatcher_->update_endpoint(record, now);
+        loops_[id] = std::make_shared<asio::steady_timer>(executor_);
+        asio::co_spawn(executor_, watch_endpoint(shared_from_this(), id),
+                       asio::detached);
+    }
+}
+
+void cell_host::update_endpoint(dispatch::endpoint_record const& record)
+{
+    if (retiring_ && !loops_.contains(record.id))
+        return;
+    records_[record.id] = record;
+    if (loops_.contains(record.id))
+        dispatcher_->update_endpoint(record, steady_clock::now());
+}
+
+void cell_host::remove_endpoint(std::string const& id, time_point now)
+{
+    records_.erase(id);
+    loops_.erase(id);
+    dispatcher_->remove_endpoint(id, now);
+}
+
+void cell_host::take_released(std::vector<std::string> const& endpoints,
+                              bool last)
+{
+    released_.insert(endpoints.begin(), endpoints.end());
+    all_released_ = all_released_ || last;
+    if (retiring_)
+        return;
+    log_event(log_level::info, "endpoints_released",
+              {{"cell", cell_},
+               {"endpoints", endpoints.size()},
+               {"last", last}});
+    if (dispatcher_->outranked() > 0)
+        dispatcher_->raise_token(state_.roster.next_token(unix_seconds()));
+    add_endpoints(steady_clock::now());
+    flush();
+}
+
+dispatch::dispatch_claim cell_host::claim() const
+{
+    dispatch::dispatch_claim claim;
+    claim.cell = cell_;
+    claim.token = dispatcher_->token();
+    claim.endpoints = static_cast<std::int64_t>(dispatcher_->usable());
+    claim.free_processor =
+        dispatcher_->waiting_tasks() > 0 ? 0 : dispatcher_->free_processor();
+    claim.retiring = retiring_;
+    return claim;
+}
+
+void cell_host::share_speeds(time_point now)
+{
+    if (now - speeds_shared_ < speeds_interval)
+        return;
+    speeds_shared_ = now;
+    for (auto const& [vm, speed] : dispatcher_->speeds().speeds())
+        state_.learnt_speeds[vm] = speed;
+    if (auto const peer = state_.roster.some_peer(now))
+        asio::co_spawn(executor_, send_speeds(shared_from_this(), *peer),
+                       asio::detached);
+}
+
+asio::awaitable<void> cell_host::send_speeds(self_ptr self, std::string peer)
+{
+    wire::share_speeds content;
+    for (auto const& [vm, speed] : self->dispatcher_->speeds().speeds())
+    {
+        wire::learnt_speed row;
+        row.vm = vm;
+        row.speed = speed;
+        content.speeds.push_back(row);
+    }
+    auto message = peer_link::make_message(std::move(content));
+    // A lost message is made up for by the next one.
+    co_await call_peer(self->peers_, peer, std::move(message),
+                       steady_clock::now() + peer_timeout);
+}
+
+asio::awaitable<void>
+cell_host::send_release(self_ptr self, std::string peer,
+                        std::vector<std::string> endpoints, bool last)
+{
+    wire::release_endpoints content;
+    content.endpoints = std::move(endpoints);
+    content.last = last;
+    content.cell = self->cell_;
+    auto message = peer_link::make_message(std::move(content));
+    auto const result =
+        co_await call_peer(self->peers_, peer, std::move(message),
+                           steady_clock::now() + peer_timeout);
+    // The follower takes them by itself once this entry is gone.
+    if (!result)
+        log_event(log_level::warning, "release_failed",
+                  {{"peer", peer}, {"detail", result.error().error.detail}});
+}
+
+asio::awaitable<dispatch::job_result>
+cell_host::run_job(self_ptr self, dispatch::job_spec job,
+                   dispatch::entry_identity origin)
+{
+    job_key const key{job.id, origin_name(origin)};
+    auto const waiting = std::make_shared<waiting_job>(self->executor_);
+    auto const earlier = self->waiting_.find(key);
+    if (earlier != self->waiting_.end())
+    {
+        earlier->second->result = dispatch::job_result{
+            dispatch::job_end::unknown, dispatch::end_reason::superseded};
+        earlier->second->ended.cancel();
+    }
+    self->waiting_[key] = waiting;
+    self->dispatcher_->submit(std::move(job), key.second, steady_clock::now());
+    self->flush();
+    while (!waiting->result)
+        co_await waiting->ended.async_wait(as_values);
+    co_return *waiting->result;
+}
+
+void cell_host::withdraw(std::string const& id,
+                         dispatch::entry_identity const& origin)
+{
+    dispatcher_->withdraw(id, origin_name(origin), steady_clock::now());
+    flush();
+}
+
+void cell_host::drop_origin(dispatch::entry_identity const& origin,
+                            time_point now)
+{
+    dispatcher_->drop_origin(origin_name(origin), now);
+    flush();
+}
+
+void cell_host::deliver(dispatch::finished_job const& job)
+{
+    // An earlier submission of the same id and origin was told already.
+    auto const found = waiting_.find({job.id, job.origin});
+    if (found == waiting_.end() || found->second->result)
+        return;
+    auto const superseded =
+        job.result.reason == dispatch::end_reason::superseded;
+    if (superseded && dispatcher_->has_job(job.id, job.origin))
+        return;
+    auto const waiting = found->second;
+    waiting_.erase(found);
+    waiting->result = job.result;
+    waiting->ended.cancel();
+}
+
+void cell_host::flush()
+{
+    for (auto& order : dispatcher_->take_starts())
+    {
+        state_.metrics.starts.add();
+        asio::co_spawn(executor_,
+                       send_start(shared_from_this(), std::move(order)),
+                       asio::detached);
+    }
+    for (auto& order : dispatcher_->take_stops())
+    {
+        state_.metrics.stops.add();
+        asio::co_spawn(executor_,
+                       send_stop(shared_from_this(), std::move(order)),
+                       asio::detached);
+    }
+    for (auto const& job : dispatcher_->take_finished())
+        deliver(job);
+    for (auto const& id : dispatcher_->take_wakened())
+    {
+        auto const found = loops_.find(id);
+        if (found != loops_.end())
+            found->second->cancel();
+    }
+    log_decisions(dispatcher_->take_decisions());
+}
+
+} // namespace masticshift::gateway
--- /dev/null
+++ b/libs/gateway/src/cell_host.hpp
@@ -0,0 +1,134 @@
+#ifndef MASTICSHIFT_GATEWAY_CELL_HOST_HPP
+#define MASTICSHIFT_GATEWAY_CELL_HOST_HPP
+
+#include "peer_calls.hpp"
+#include "shared_state.hpp"
+
+#include <dispatch/cell_layout.hpp>
+#include <dispatch/dispatcher.hpp>
+#include <transport/http_client.hpp>
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+
+namespace masticshift::gateway
+{
+
+/// Dispatches one cell: carries out the dispatcher's orders, tells it the
+/// answers, and hands the cell over in the end.
+class cell_host : public std::enable_shared_from_this<cell_host>
+{
+public:
+    cell_host(shared_state& state, transport::http_client& endpoints,
+              peer_link::peer_client& peers, asio::any_io_executor executor,
+              std::string cell);
+
+    cell_host(cell_host const&) = delete;
+    cell_host& operator=(cell_host const&) = delete;
+
+    /// Does what is due by time.
+    void step(time_point now);
+
+    /// Dispatches a job and waits for its end.
+    static asio::awaitable<dispatch::job_result>
+    run_job(std::shared_ptr<cell_host> self, dispatch::job_spec job,
+            dispatch::entry_identity origin);
+
+    void withdraw(std::string const& id,
+                  dispatch::entry_identity const& origin);
+    void drop_origin(dispatch::entry_identity const& origin, time_point now);
+
+    void update_endpoint(dispatch::endpoint_record const& record);
+    void remove_endpoint(std::string const& id, time_point now);
+
+    /// The former dispatcher of the cell has given up endpoints.
+    void take_released(std::vector<std::string> const& endpoints, bool last);
+
+    /// Begins to hand the cell over.
+    void retire(time_point now);
+
+    /// Ends all jobs. Nothing may be called afterwards.
+    void stop(time_point now);
+
+    /// Whether everything has been handed over, or the time for it is up.
+    bool is_handed_over(time_point now) const;
+
+    dispatch::dispatch_claim claim() const;
+
+    dispatch::dispatcher const& dispatcher() const
+    {
+        return *dispatcher_;
+    }
+
+    bool retiring() const
+    {
+        return retiring_;
+    }
+
+private:
+    struct waiting_job
+    {
+        explicit waiting_job(asio::any_io_executor const& executor)
+            : ended(executor, time_point::max())
+        {
+        }
+
+        asio::steady_timer ended;
+        std::optional<dispatch::job_result> result;
+    };
+
+    using job_key = std::pair<std::string, std::string>;
+    using self_ptr = std::shared_ptr<cell_host>;
+
+    void hand_over();
+    void raise_token(time_point now);
+    void add_endpoints(time_point now);
+    bool may_take(std::string const& endpoint, time_point now) const;
+
+    static asio::awaitable<void> watch_endpoint(self_ptr self,
+                                                std::string endpoint);
+    asio::awaitable<bool> read_list(std::string endpoint,
+                                    dispatch::list_order order);
+    void take_list(std::string const& endpoint,
+                   dispatch::list_order const& order, time_point sent,
+                   transport::http_response const& response);
+    static asio::awaitable<void> send_start(self_ptr self,
+                                            dispatch::start_order order);
+    static asio::awaitable<void> send_stop(self_ptr self,
+                                           dispatch::stop_order order);
+    static asio::awaitable<void>
+    send_release(self_ptr self, std::string peer,
+                 std::vector<std::string> endpoints, bool last);
+    static asio::awaitable<void> send_speeds(self_ptr self, std::string peer);
+    void share_speeds(time_point now);
+
+    /// Carries out what the dispatcher has decided.
+    void flush();
+    void deliver(dispatch::finished_job const& job);
+
+    shared_state& state_;
+    transport::http_client& endpoints_;
+    peer_link::peer_client& peers_;
+    asio::any_io_executor executor_;
+    std::string cell_;
+    std::unique_ptr<dispatch::dispatcher> dispatcher_;
+    bool retiring_ = false;
+    bool stopped_ = false;
+    time_point begun_{};
+    time_point retiring_since_{};
+    time_point token_raised_{};
+    time_point speeds_shared_{};
+    std::set<std::string> released_;
+    bool all_released_ = false;
+    /// All endpoints of the cell, also those that may not be taken yet.
+    std::map<std::string, dispatch::endpoint_record> records_;
+    /// Wakes the loop that watches an endpoint.
+    std::map<std::string, std::shared_ptr<asio::steady_timer>> loops_;
+    std::map<job_key, std::shared_ptr<waiting_job>> waiting_;
+};
+
+} // namespace masticshift::gateway
+
+#endif
--- a/libs/gateway/src/endpoint_io.cpp
+++ b/libs/gateway/src/endpoint_io.cpp
@@ -1,4 +1,4 @@
-#include "dispatch_host.hpp"
+#include "cell_host.hpp"
 
 #include <core/log.hpp>
 #include <platform/run_codec.hpp>
@@ -32,34 +32,31 @@
 
 } // namespace
 
-asio::awaitable<void> dispatch_host::watch_endpoint(dispatch_host& self,
-                                                    std::string endpoint,
-                                                    std::uint64_t term)
+asio::awaitable<void> cell_host::watch_endpoint(self_ptr self,
+                                                std::string endpoint)
 {
-    while (self.term_ == term && self.loops_.contains(endpoint))
+    while (!self->stopped_)
     {
+        auto const found = self->loops_.find(endpoint);
+        if (found == self->loops_.end())
+            co_return;
+        auto const wake = found->second;
         auto const order =
-            self.dispatcher_->next_list(endpoint, steady_clock::now());
+            self->dispatcher_->next_list(endpoint, steady_clock::now());
         auto wait = idle_pause;
         if (order)
         {
-            if (co_await self.read_list(endpoint, *order, term))
+            if (co_await self->read_list(endpoint, *order))
                 continue;
             wait = retry_pause;
         }
-        if (self.term_ != term)
-            co_return;
-        auto const found = self.loops_.find(endpoint);
-        if (found == self.loops_.end())
-            co_return;
-        found->second->wake.expires_after(wait);
-        co_await found->second->wake.async_wait(as_values);
+        wake->expires_after(wait);
+        co_await wake->async_wait(as_values);
     }
 }
 
-asio::awaitable<bool> dispatch_host::read_list(std::string endpoint,
-                                               dispatch::list_order order,
-                                               std::uint64_t term)
+asio::awaitable<bool> cell_host::read_list(std::string endpoint,
+                                           dispatch::list_order order)
 {
     auto const record = records_.find(endpoint);
     if (record == records_.end())
@@ -71,23 +68,15 @@
     auto request = platform::encode_list(order, endpoint);
     auto const result = co_await endpoints_.call(
         ip, port, std::move(request), sent + order.wait + list_timeout);
-    if (term_ != term)
+    if (stopped_)
         co_return false;
-    auto const now = steady_clock::now();
     auto answer = dispatch::order_answer::unanswered;
     if (result)
     {
         answer = platform::decode_endpoint_answer(*result).answer;
-        std::size_t skipped = 0;
-        auto const decoded = platform::decode_list(*result, skipped);
-        if (skipped > 0)
-            log_event(log_level::warning, "list_entries_skipped",
-                      {{"endpoint", endpoint}, {"entries", skipped}});
-        if (answer == dispatch::order_answer::accepted && decoded)
+        if (answer == dispatch::order_answer::accepted)
         {
-            dispatcher_->list_answered(endpoint, order, decoded->list,
-                                       decoded->clock, sent, now);
-            flush();
+            take_list(endpoint, order, sent, *result);
             co_return true;
         }
     }
@@ -97,23 +86,42 @@
         state_.metrics.unanswered.add();
         endpoints_.drop_kept(ip, port);
     }
-    dispatcher_->list_failed(endpoint, answer, now);
+    dispatcher_->list_failed(endpoint, answer, steady_clock::now());
     flush();
     co_return false;
 }
 
-asio::awaitable<void> dispatch_host::send_start(dispatch_host& self,
-                                                dispatch::start_order order,
-                                                std::uint64_t term)
+void cell_host::take_list(std::string const& endpoint,
+                          dispatch::list_order const& order, time_point sent,
+                          transport::http_response const& response)
+{
+    std::size_t skipped = 0;
+    auto const decoded = platform::decode_list(response, skipped);
+    if (!decoded || skipped > 0)
+        log_event(log_level::warning, "list_unreadable",
+                  {{"endpoint", endpoint},
+                   {"skipped", skipped},
+                   {"detail", decoded ? "" : decoded.error().detail}});
+    if (!decoded)
+        dispatcher_->list_failed(endpoint, dispatch::order_answer::malformed,
+                                 steady_clock::now());
+    else
+        dispatcher_->list_answered(endpoint, order, decoded->list,
+                                   decoded->clock, sent, steady_clock::now());
+    flush();
+}
+
+asio::awaitable<void> cell_host::send_start(self_ptr self,
+                                            dispatch::start_order order)
 {
-    auto const record = self.records_.find(order.endpoint);
+    auto const record = self->records_.find(order.endpoint);
     platform::endpoint_answer answer{dispatch::order_answer::not_sent, {}};
-    if (record != self.records_.end())
+    if (record != self->records_.end())
     {
         auto const ip = record->second.ip;
         auto const port = record->second.port;
         auto request = platform::encode_start(order, order.endpoint);
-        auto const result = co_await self.endpoints_.call(
+        auto const result = co_await self->endpoints_.call(
             ip, port, std::move(request), steady_clock::now() + order_timeout);
         if (result)
         {
@@ -122,35 +130,35 @@
         else
         {
             answer.answer = answer_of(result.error());
-            self.state_.metrics.unanswered.add();
-            self.endpoints_.drop_kept(ip, port);
+            self->state_.metrics.unanswered.add();
+            self->endpoints_.drop_kept(ip, port);
         }
     }
-    if (self.term_ != term)
+    if (self->stopped_)
         co_return;
-    self.dispatcher_->start_answered(order, answer.answer, answer.clock,
-                                     steady_clock::now());
-    self.flush();
+    self->dispatcher_->start_answered(order, answer.answer, answer.clock,
+                                      steady_clock::now());
+    self->flush();
 }
 
-asio::awaitable<void> dispatch_host::send_stop(dispatch_host& self,
-                                               dispatch::stop_order order,
-                                               std::uint64_t term)
+asio::awaitable<void> cell_host::send_stop(self_ptr self,
+                                           dispatch::stop_order order)
 {
-    auto const record = self.records_.find(order.endpoint);
-    if (record == self.records_.end())
+    auto const record = self->records_.find(order.endpoint);
+    if (record == self->records_.end())
         co_return;
+    auto const ip = record->second.ip;
+    auto const port = record->second.port;
     auto request = platform::encode_stop(order, order.endpoint);
-    auto const result = co_await self.endpoints_.call(
-        record->second.ip, record->second.port, std::move(request),
-        steady_clock::now() + order_timeout);
-    if (self.term_ != term)
+    auto const result = co_await self->endpoints_.call(
+        ip, port, std::move(request), steady_clock::now() + order_timeout);
+    if (self->stopped_)
         co_return;
     auto const answer =
         result ? platform::decode_endpoint_answer(*result).answer
                : answer_of(result.error());
-    self.dispatcher_->stop_answered(order, answer, steady_clock::now());
-    self.flush();
+    self->dispatcher_->stop_answered(order, answer, steady_clock::now());
+    self->flush();
 }
 
 } // namespace masticshift::gateway
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -29,6 +29,9 @@
 /// A drain ends this long before the process would be killed.
 constexpr milliseconds grace_margin{500};
 
+/// Time in which the last answers leave.
+constexpr milliseconds answer_time{150};
+
 constexpr milliseconds drain_interval{50};
 
 /// Connections to endpoints are kept, as each new one is paid for.
@@ -266,7 +269,7 @@
     bool is_ready() const
     {
         return !state_.leaving && state_.configuration_version != 0 &&
-               state_.roster.dispatcher(steady_clock::now()).has_value();
+               !state_.roster.dispatchers(steady_clock::now()).empty();
     }
 
     asio::awaitable<std::optional<transport::http_response>> answer_ready()
@@ -291,8 +294,11 @@
     asio::awaitable<void> finish()
     {
         auto const begun = steady_clock::now();
-        auto const grace = state_.settings.bounds.grace;
-        auto const limit = begun + std::max(grace - grace_margin, grace / 2);
+        auto const grace = std::chrono::duration_cast<duration>(
+            std::chrono::duration<double>(
+                state_.settings.bounds.grace_seconds));
+        auto const limit =
+            begun + std::max<duration>(grace - grace_margin, grace / 2);
         co_await exchange_.unregister_entry();
         for (;;)
         {
@@ -300,11 +306,18 @@
             auto const now = steady_clock::now();
             bool const idle = !host_.active() && desk_.open_jobs() == 0 &&
                               now - begun > balancer_time;
+            if (now - begun > balancer_time)
+                desk_.close();
             if (idle || now >= limit)
                 break;
         }
+        log_event(log_level::info, "drain_ended",
+                  {{"open_jobs", desk_.open_jobs()}});
+        // Ends what is still open, so that every caller gets its answer.
+        host_.stop(steady_clock::now());
+        peer_client_.stop();
         caller_server_.close_gracefully();
-        co_await pause(drain_interval);
+        co_await pause(answer_time);
         log_event(log_level::info, "stopped",
                   {{"open_jobs", desk_.open_jobs()},
                    {"dropped_log_lines", dropped_log_lines()}});
--- a/libs/gateway/src/job_desk.cpp
+++ b/libs/gateway/src/job_desk.cpp
@@ -3,6 +3,9 @@
 #include "peer_wire.hpp"
 
 #include <core/log.hpp>
+#include <dispatch/cell_choice.hpp>
+
+#include <set>
 
 namespace masticshift::gateway
 {
@@ -33,8 +36,11 @@
 {
     dispatch::job_spec job;
     time_point accepted;
-    /// Entry that may have the job.
+    /// Entry and cell that may have the job.
     std::string dispatcher;
+    std::string cell;
+    /// Cells that were busy.
+    std::set<std::string> busy;
     bool gone = false;
 };
 
@@ -60,6 +66,10 @@
     constexpr unsigned bad_request = 400;
     constexpr unsigned not_allowed = 405;
     auto const call = platform::decode_caller_request(request);
+    if (closed_)
+        co_return reject(
+            platform::encode_refusal(unavailable, no_dispatcher_retry), call,
+            result_code::draining, "");
     if (state_.configuration_version == 0)
         co_return reject(
             platform::encode_refusal(unavailable, no_dispatcher_retry), call,
@@ -130,6 +140,8 @@
                {"queue", job->job.queue},
                {"version", state_.configuration_version},
                {"dispatcher", job->dispatcher},
+               {"cell", job->cell},
+               {"busy_cells", job->busy.size()},
                {"end", dispatch::name_of(result.end)},
                {"reason", dispatch::name_of(result.reason)},
                {"caller_gone", job->gone},
@@ -137,6 +149,20 @@
     co_return platform::encode_job_end(result);
 }
 
+bool job_desk::choose_cell(submission& job)
+{
+    auto const cells = state_.roster.dispatchers(steady_clock::now());
+    auto const choice =
+        dispatch::choose_cell(cells, state_.roster.self().data_centre, job.job,
+                              job.busy);
+    if (!choice)
+        return false;
+    job.dispatcher = choice->address;
+    job.cell = choice->cell;
+    job.job.only_if_idle = choice->only_if_idle;
+    return true;
+}
+
 asio::awaitable<dispatch::job_result> job_desk::dispatch(submission_ptr job)
 {
     dispatch::job_result none{dispatch::job_end::refused,
@@ -144,16 +170,17 @@
                               no_dispatcher_retry};
     while (!job->gone)
     {
-        auto const now = steady_clock::now();
-        auto const dispatcher = state_.roster.dispatcher(now);
-        if (dispatcher)
+        if (choose_cell(*job))
         {
-            job->dispatcher = *dispatcher;
             auto const result = co_await call_dispatcher(job);
-            bool const elsewhere =
-                result.end == dispatch::job_end::refused &&
-                result.reason == dispatch::end_reason::not_dispatcher;
-            if (!elsewhere)
+            if (result.end != dispatch::job_end::refused)
+                co_return result;
+            if (result.reason == dispatch::end_reason::busy_cell)
+            {
+                job->busy.insert(job->cell);
+                continue;
+            }
+            if (result.reason != dispatch::end_reason::not_dispatcher)
                 co_return result;
         }
         if (steady_clock::now() - job->accepted > dispatcher_wait)
@@ -168,8 +195,10 @@
 {
     auto const& self = state_.roster.self();
     if (job->dispatcher == self.address)
-        co_return co_await host_.run_job(job->job, self);
-    auto message = peer_link::make_message(to_wire(job->job, self));
+        co_return co_await host_.run_job(job->cell, job->job, self);
+    auto content = to_wire(job->job, self);
+    content.cell = job->cell;
+    auto message = peer_link::make_message(std::move(content));
     auto const result = co_await call_peer(
         peers_, job->dispatcher, std::move(message),
         job->accepted + job->job.patience + answer_margin);
@@ -183,7 +212,7 @@
               {{"job", job->job.id},
                {"dispatcher", job->dispatcher},
                {"detail", result.error().error.detail}});
-    withdraw(job->dispatcher, job->job.id);
+    withdraw(job);
     co_return dispatch::job_result{dispatch::job_end::unknown,
                                    dispatch::end_reason::endpoint_lost};
 }
@@ -193,30 +222,29 @@
     state_.metrics.callers_gone.add();
     job->gone = true;
     if (!job->dispatcher.empty())
-        withdraw(job->dispatcher, job->job.id);
+        withdraw(job);
 }
 
-void job_desk::withdraw(std::string const& dispatcher, std::string const& id)
+void job_desk::withdraw(submission_ptr const& job)
 {
-    if (dispatcher == state_.roster.self().address)
-    {
-        host_.withdraw(id, state_.roster.self());
-        return;
-    }
-    asio::co_spawn(host_.executor(), send_withdrawal(*this, dispatcher, id),
-                   asio::detached);
+    if (job->dispatcher == state_.roster.self().address)
+        host_.withdraw(job->cell, job->job.id, state_.roster.self());
+    else
+        asio::co_spawn(host_.executor(), send_withdrawal(*this, job),
+                       asio::detached);
 }
 
 asio::awaitable<void> job_desk::send_withdrawal(job_desk& self,
-                                                std::string dispatcher,
-                                                std::string id)
+                                                submission_ptr job)
 {
+    auto const dispatcher = job->dispatcher;
+    wire::withdraw_job content;
+    content.id = job->job.id;
+    content.cell = job->cell;
+    content.origin = to_wire(self.state_.roster.self());
     for (int tried = 0; tried < withdrawal_tries; ++tried)
     {
-        wire::withdraw_job content;
-        content.id = id;
-        content.origin = to_wire(self.state_.roster.self());
-        auto message = peer_link::make_message(std::move(content));
+        auto message = peer_link::make_message(content);
         auto const until = steady_clock::now() + withdrawal_timeout;
         auto const result = co_await call_peer(self.peers_, dispatcher,
                                                std::move(message), until);
@@ -227,7 +255,7 @@
     }
     // The dispatcher stops the jobs of an entry that it does not hear from.
     log_event(log_level::warning, "withdrawal_unanswered",
-              {{"job", id}, {"dispatcher", dispatcher}});
+              {{"job", content.id}, {"dispatcher", dispatcher}});
 }
 
 } // namespace masticshift::gateway
--- a/libs/gateway/src/job_desk.hpp
+++ b/libs/gateway/src/job_desk.hpp
@@ -24,6 +24,12 @@
     asio::awaitable<transport::http_response>
     answer(transport::http_request request);
 
+    /// Refuses further jobs.
+    void close()
+    {
+        closed_ = true;
+    }
+
     /// Jobs whose callers wait for an answer.
     std::size_t open_jobs() const
     {
@@ -40,11 +46,11 @@
            dispatch::queue_settings const& queue);
     asio::awaitable<dispatch::job_result> dispatch(submission_ptr job);
     asio::awaitable<dispatch::job_result> call_dispatcher(submission_ptr job);
+    bool choose_cell(submission& job);
     void caller_gone(submission_ptr const& job);
     static asio::awaitable<void> send_withdrawal(job_desk& self,
-                                                 std::string dispatcher,
-                                                 std::string id);
-    void withdraw(std::string const& dispatcher, std::string const& id);
+                                                 submission_ptr job);
+    void withdraw(submission_ptr const& job);
     transport::http_response reject(transport::http_response response,
                                     platform::caller_request const& call,
                                     result_code reason,
@@ -54,6 +60,7 @@
     peer_link::peer_client& peers_;
     dispatch_host& host_;
     std::size_t open_jobs_ = 0;
+    bool closed_ = false;
 };
 
 } // namespace masticshift::gateway
--- a/libs/gateway/src/peer_exchange.cpp
+++ b/libs/gateway/src/peer_exchange.cpp
@@ -129,11 +129,12 @@
     case dispatch_call:
         co_return co_await answer_job(std::move(call.dispatch_call));
     case withdraw_call:
-        host_.withdraw(call.withdraw_call.id,
+        host_.withdraw(call.withdraw_call.cell, call.withdraw_call.id,
                        from_wire(call.withdraw_call.origin));
         break;
     case release_call:
-        host_.take_released(call.release_call.endpoints,
+        host_.take_released(call.release_call.cell,
+                            call.release_call.endpoints,
                             call.release_call.last);
         break;
     case speeds_call:
@@ -164,6 +165,7 @@
 peer_exchange::answer_job(wire::dispatch_job call)
 {
     auto const origin = from_wire(call.origin);
+    auto const cell = call.cell;
     auto job = from_wire(std::move(call));
     if (!job)
     {
@@ -172,7 +174,7 @@
         refusal.detail = job.error().detail;
         co_return peer_link::make_message(std::move(refusal));
     }
-    auto const result = co_await host_.run_job(std::move(*job), origin);
+    auto const result = co_await host_.run_job(cell, std::move(*job), origin);
     co_return peer_link::make_message(to_wire(result));
 }
 
--- a/libs/gateway/src/peer_wire.cpp
+++ b/libs/gateway/src/peer_wire.cpp
@@ -70,13 +70,15 @@
     wire::pulse made;
     made.sender = to_wire(sign.sender);
     made.leaving = sign.leaving;
-    if (sign.claim)
+    for (auto const& claim : sign.claims)
     {
-        wire::dispatch_claim claim;
-        claim.token = sign.claim->token;
-        claim.endpoints = sign.claim->endpoints;
-        claim.retiring = sign.claim->retiring;
-        made.__set_claim(claim);
+        wire::dispatch_claim row;
+        row.cell = claim.cell;
+        row.token = claim.token;
+        row.endpoints = claim.endpoints;
+        row.free_processor = claim.free_processor;
+        row.retiring = claim.retiring;
+        made.claims.push_back(std::move(row));
     }
     made.configuration_version = sign.configuration_version;
     made.highest_token = sign.highest_token;
@@ -90,9 +92,9 @@
     dispatch::sign_of_life made;
     made.sender = from_wire(pulse.sender);
     made.leaving = pulse.leaving;
-    if (pulse.__isset.claim)
-        made.claim = dispatch::dispatch_claim{
-            pulse.claim.token, pulse.claim.endpoints, pulse.claim.retiring};
+    for (auto const& row : pulse.claims)
+        made.claims.push_back({row.cell, row.token, row.endpoints,
+                               row.free_processor, row.retiring});
     made.configuration_version = pulse.configuration_version;
     made.highest_token = pulse.highest_token;
     for (auto const& entry : pulse.known)
@@ -116,6 +118,7 @@
     made.target_latency_ms = job.target_latency.count();
     made.patience_ms = job.patience.count();
     made.origin = to_wire(origin);
+    made.only_if_idle = job.only_if_idle;
     return made;
 }
 
@@ -140,6 +143,7 @@
     made.slack_factor = job.slack_factor;
     made.target_latency = milliseconds(job.target_latency_ms);
     made.patience = milliseconds(job.patience_ms);
+    made.only_if_idle = job.only_if_idle;
     return made;
 }
 
@@ -158,7 +162,7 @@
     constexpr auto last_end = static_cast<std::int32_t>(
         dispatch::job_end::unknown);
     constexpr auto last_reason = static_cast<std::int32_t>(
-        dispatch::end_reason::out_of_time);
+        dispatch::end_reason::busy_cell);
     if (reply.outcome >= 0 && reply.outcome <= last_end)
         made.end = static_cast<dispatch::job_end>(reply.outcome);
     if (reply.reason >= 0 && reply.reason <= last_reason)
--- a/libs/peer_link/idl/masticshift.thrift
+++ b/libs/peer_link/idl/masticshift.thrift
@@ -169,20 +169,23 @@
   4: i32 processor
 }
 
-// The sender dispatches with this token.
+// The sender dispatches a cell with this token.
 struct dispatch_claim {
-  1: i64 token
+  1: string cell
+  2: i64 token
   // Endpoints that it can place tasks on.
-  2: i64 endpoints
+  3: i64 endpoints
+  // Thousandths of a core that are free on them.
+  4: i64 free_processor
   // Hands its endpoints over to the next dispatcher.
-  3: bool retiring
+  5: bool retiring
 }
 
 // Sign of life of an entry that serves callers of the users' platform.
 struct pulse {
   1: entry_record sender
   2: bool leaving
-  3: optional dispatch_claim claim
+  3: list<dispatch_claim> claims
   4: i64 configuration_version
   // The highest token that the sender knows of.
   5: i64 highest_token
@@ -219,6 +222,9 @@
   9: i64 target_latency_ms
   10: i64 patience_ms
   11: entry_record origin
+  12: string cell
+  // Refused unless all its first tasks can start at once.
+  13: bool only_if_idle
 }
 
 struct dispatch_reply {
@@ -232,6 +238,7 @@
 struct withdraw_job {
   1: string id
   2: entry_record origin
+  3: string cell
 }
 
 // Nothing of the sender's runs on these endpoints any more.
@@ -239,6 +246,7 @@
   1: list<string> endpoints
   // The sender has none left.
   2: bool last
+  3: string cell
 }
 
 struct learnt_speed {
--- a/libs/peer_link/src/frame_codec.cpp
+++ b/libs/peer_link/src/frame_codec.cpp
@@ -52,6 +52,8 @@
 {
     return std::max({longest_list(content.heartbeat_call),
                      longest_list(content.dispatch_call),
+                     content.pulse_call.claims.size(),
+                     content.pulse_answer.beat.claims.size(),
                      content.pulse_call.known.size(),
                      content.pulse_answer.beat.known.size(),
                      content.release_call.endpoints.size(),
