--- a/libs/config/include/config/gateway_settings.hpp
+++ b/libs/config/include/config/gateway_settings.hpp
@@ -25,6 +25,9 @@
     socket_address ready_address;
     /// What other entries connect to. It names this one.
     socket_address peer_address;
+    /// What is bound for it, where something translates addresses between the
+    /// VMs. The peer address by default.
+    socket_address peer_listen_address;
     /// Text for Prometheus. Not served when absent.
     socket_address metrics_address;
     /// Cores that this process may use. The largest entries dispatch.
--- a/libs/config/src/gateway_settings.cpp
+++ b/libs/config/src/gateway_settings.cpp
@@ -36,6 +36,8 @@
                                                  listen_rule),
     member_key<&gateway_identity::peer_address>("peer_address", required,
                                                 connect_rule),
+    member_key<&gateway_identity::peer_listen_address>(
+        "peer_listen_address", optional, listen_rule),
     member_key<&gateway_identity::metrics_address>("metrics_address", optional,
                                                    listen_rule),
     member_key<&gateway_identity::processors>("processors", optional,
@@ -102,6 +104,9 @@
     BOOST_LEAF_CHECK(
         read_section(root, "bounds", bound_keys, settings.bounds));
     BOOST_LEAF_CHECK(read_section(root, "log", log_keys, settings.log));
+    auto& own = settings.gateway;
+    if (own.peer_listen_address.ip.empty())
+        own.peer_listen_address = own.peer_address;
     return settings;
 }
 
--- a/libs/dispatch/tests/dispatcher_test.cpp
+++ b/libs/dispatch/tests/dispatcher_test.cpp
@@ -1,4 +1,4 @@
-#include "fleet_model.hpp"
+#include <test_support/endpoint_model.hpp>
 
 #include <doctest/doctest.h>
 
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -165,8 +165,10 @@
     {
         stopped_ = std::move(stopped);
         auto const& own = state_.settings.gateway;
-        auto listening =
-            peer_server_.listen(own.peer_address.ip, own.peer_address.port);
+        auto const& peers = own.peer_listen_address.ip.empty()
+                                ? own.peer_address
+                                : own.peer_listen_address;
+        auto listening = peer_server_.listen(peers.ip, peers.port);
         if (listening)
             listening = caller_server_.listen(own.caller_address.ip,
                                               own.caller_address.port);
--- /dev/null
+++ b/libs/gateway/tests/deployment.hpp
@@ -0,0 +1,210 @@
+#ifndef MASTICSHIFT_GATEWAY_DEPLOYMENT_HPP
+#define MASTICSHIFT_GATEWAY_DEPLOYMENT_HPP
+
+#include <gateway/gateway.hpp>
+#include <test_support/platform_double.hpp>
+#include <test_support/reserved_port.hpp>
+#include <transport/http_client.hpp>
+
+#include <boost/asio.hpp>
+
+#include <array>
+#include <cstdio>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace masticshift::gateway
+{
+
+/// Gateways and the platform's double in one thread.
+class deployment
+{
+public:
+    explicit deployment(unsigned seed = 1)
+        : platform_(context_.get_executor(), seed),
+          client_(context_.get_executor(), {})
+    {
+        platform_.start_store().value();
+        platform_.configure(1, milliseconds(40));
+    }
+
+    ~deployment()
+    {
+        gateways_.clear();
+    }
+
+    test_support::platform_double& platform()
+    {
+        return platform_;
+    }
+
+    void add_endpoints(std::string const& data_centre, int count)
+    {
+        for (int i = 0; i < count; ++i)
+            platform_
+                .add_endpoint(data_centre + std::to_string(i), data_centre, 1)
+                .value();
+    }
+
+    std::size_t add_gateway(std::string const& data_centre, double processors)
+    {
+        members_.push_back({});
+        auto& made = members_.back();
+        auto& settings = made.settings;
+        settings.gateway.name = "entry" + std::to_string(members_.size());
+        settings.gateway.data_centre = data_centre;
+        settings.gateway.caller_address = made.ports[0].address();
+        settings.gateway.ready_address = made.ports[1].address();
+        settings.gateway.peer_address = made.ports[2].address();
+        settings.gateway.processors = processors;
+        settings.store_address = {"127.0.0.1", platform_.store_port()};
+        gateways_.push_back(nullptr);
+        start(members_.size() - 1);
+        return members_.size() - 1;
+    }
+
+    void start(std::size_t number)
+    {
+        gateways_[number] = std::make_unique<gateway>(
+            context_.get_executor(), members_[number].settings);
+        gateways_[number]
+            ->start(
+                [this, number]
+                {
+                    members_[number].stopped = true;
+                })
+            .value();
+    }
+
+    gateway& at(std::size_t number)
+    {
+        return *gateways_[number];
+    }
+
+    bool stopped(std::size_t number) const
+    {
+        return members_[number].stopped;
+    }
+
+    void run(milliseconds length)
+    {
+        context_.restart();
+        context_.run_for(length);
+    }
+
+    /// Runs until the condition holds. False when the time is over.
+    bool run_until(std::function<bool()> const& holds, milliseconds patience)
+    {
+        auto const end = steady_clock::now() + patience;
+        while (!holds() && steady_clock::now() < end)
+            run(milliseconds(10));
+        return holds();
+    }
+
+    bool run_until_ready(std::size_t number)
+    {
+        constexpr milliseconds patience{5'000};
+        auto const end = steady_clock::now() + patience;
+        while (steady_clock::now() < end)
+        {
+            if (status_of(number) == 200U)
+                return true;
+            run(milliseconds(20));
+        }
+        return false;
+    }
+
+    unsigned status_of(std::size_t number)
+    {
+        transport::http_request request;
+        request.target = "/ready";
+        return call(members_[number].settings.gateway.ready_address, request)
+            .status;
+    }
+
+    /// An answer that a caller waits for. Status 0: none yet, 1: the call
+    /// failed.
+    struct pending
+    {
+        unsigned status = 0;
+        std::string body;
+        std::string retry_after;
+    };
+
+    std::shared_ptr<pending> submit(std::size_t number, unsigned id,
+                                    int tasks = 2,
+                                    std::string const& path = "/q/",
+                                    std::string const& extra = "")
+    {
+        std::array<char, 17> name{};
+        std::snprintf(name.data(), name.size(), "%016x", id);
+        transport::http_request request;
+        request.method = "POST";
+        request.target = path + name.data();
+        request.fields.set("Host", "jobs.example");
+        request.fields.set("X-Deadline-Ms", "3000");
+        request.body = R"({"best_effort":true,"spec":"s")" + extra +
+                       R"(,"steps":[{"count":)" + std::to_string(tasks) +
+                       R"(,"cpu":6800,"mem_mb":64,"estimate_ms":40}]})";
+        auto const waiting = std::make_shared<pending>();
+        auto const address =
+            members_[number].settings.gateway.caller_address;
+        boost::asio::co_spawn(context_,
+                              send(client_, address, request, waiting),
+                              boost::asio::detached);
+        return waiting;
+    }
+
+private:
+    struct member
+    {
+        config::gateway_settings settings;
+        std::array<test_support::reserved_port, 3> ports;
+        bool stopped = false;
+    };
+
+    static boost::asio::awaitable<void>
+    send(transport::http_client& client, config::socket_address address,
+         transport::http_request request, std::shared_ptr<pending> waiting)
+    {
+        // The client sets the host of a call to the address; gateways find
+        // the queue by the one that the caller names.
+        auto const result = co_await client.call(
+            address.ip, address.port, std::move(request),
+            steady_clock::now() + milliseconds(4'000));
+        waiting->status = result ? result->status : 1;
+        if (result)
+        {
+            waiting->body = result->body;
+            waiting->retry_after = result->fields["Retry-After"];
+        }
+    }
+
+    pending call(config::socket_address const& address,
+                 transport::http_request const& request)
+    {
+        auto const waiting = std::make_shared<pending>();
+        boost::asio::co_spawn(context_,
+                              send(client_, address, request, waiting),
+                              boost::asio::detached);
+        run_until(
+            [&]
+            {
+                return waiting->status != 0;
+            },
+            milliseconds(4'500));
+        return *waiting;
+    }
+
+    boost::asio::io_context context_{1};
+    test_support::platform_double platform_;
+    transport::http_client client_;
+    std::vector<member> members_;
+    std::vector<std::unique_ptr<gateway>> gateways_;
+};
+
+} // namespace masticshift::gateway
+
+#endif
--- a/libs/transport/src/http_client.cpp
+++ b/libs/transport/src/http_client.cpp
@@ -156,7 +156,8 @@
         if (checks.still_wanted && !checks.still_wanted(now))
             co_return failed(call_stage::not_written, result_code::cancelled,
                              "no longer wanted");
-        request.fields.set("Host", ip + ":" + std::to_string(port));
+        if (request.fields["Host"].empty())
+            request.fields.set("Host", ip + ":" + std::to_string(port));
         auto result = co_await self->exchange(
             *used, make_message(std::move(request)), deadline);
         if (result && checks.trusts && !checks.trusts(*result))
--- /dev/null
+++ b/tools/gateway_soak/src/gateway_child.hpp
@@ -0,0 +1,68 @@
+#ifndef MASTICSHIFT_GATEWAY_SOAK_GATEWAY_CHILD_HPP
+#define MASTICSHIFT_GATEWAY_SOAK_GATEWAY_CHILD_HPP
+
+#include <test_support/child_process.hpp>
+#include <test_support/relay.hpp>
+#include <test_support/reserved_port.hpp>
+#include <test_support/scratch_folder.hpp>
+
+#include <memory>
+#include <string>
+
+namespace masticshift::gateway_soak
+{
+
+/// A real gateway process, its settings, and the relays in front of its link
+/// to peers and behind its link to the store.
+class gateway_child
+{
+public:
+    gateway_child(test_support::network_thread& network,
+                  test_support::scratch_folder const& folder,
+                  std::string const& program, std::string name,
+                  std::string data_centre, config::socket_address const& store);
+
+    void start();
+    void signal(int number);
+    void kill();
+    bool is_running();
+
+    /// Waits for the end of a process that was told to stop.
+    bool wait(milliseconds patience);
+
+    config::socket_address caller_address() const
+    {
+        return caller_port_.address();
+    }
+
+    test_support::relay& peer_link()
+    {
+        return peer_link_;
+    }
+
+    test_support::relay& store_link()
+    {
+        return store_link_;
+    }
+
+    std::string const& name() const
+    {
+        return name_;
+    }
+
+private:
+    std::string program_;
+    std::string name_;
+    std::string settings_;
+    std::string errors_;
+    test_support::reserved_port caller_port_;
+    test_support::reserved_port ready_port_;
+    test_support::reserved_port peer_port_;
+    test_support::relay peer_link_;
+    test_support::relay store_link_;
+    test_support::child_process process_;
+};
+
+} // namespace masticshift::gateway_soak
+
+#endif
--- /dev/null
+++ b/tools/gateway_soak/src/soak_callers.cpp
@@ -0,0 +1,142 @@
+#include "soak_callers.hpp"
+
+#include <boost/asio.hpp>
+
+#include <array>
+#include <cstdio>
+
+namespace masticshift::gateway_soak
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+
+/// As the deployments' callers do.
+constexpr milliseconds resend_pause{1'300};
+constexpr milliseconds patience{2'500};
+constexpr int most_sends = 3;
+
+transport::http_request make_request(std::string const& id, int tasks)
+{
+    transport::http_request request;
+    request.method = "POST";
+    request.target = "/q/" + id;
+    request.fields.set("Host", "jobs.example");
+    request.fields.set("X-Deadline-Ms", std::to_string(patience.count()));
+    request.body = R"({"best_effort":true,"spec":"s","steps":[{"count":)" +
+                   std::to_string(tasks) +
+                   R"(,"cpu":6800,"mem_mb":64,"estimate_ms":60}]})";
+    return request;
+}
+
+} // namespace
+
+class soak_callers::job
+{
+public:
+    static asio::awaitable<void> run(soak_callers& owner, std::string id,
+                                     int tasks, config::socket_address to,
+                                     config::socket_address again)
+    {
+        bool refused_only = true;
+        for (int sends = 0; sends < most_sends; ++sends)
+        {
+            auto const result = co_await owner.client_->call(
+                to.ip, to.port, make_request(id, tasks),
+                steady_clock::now() + patience);
+            refused_only = refused_only && is_refused(result);
+            if (result && result->status != 502)
+            {
+                owner.note(id, *result, refused_only);
+                break;
+            }
+            {
+                std::lock_guard const lock(owner.mutex_);
+                ++(result ? owner.report_.unknown : owner.report_.broken);
+            }
+            asio::steady_timer timer(co_await asio::this_coro::executor,
+                                     resend_pause);
+            co_await timer.async_wait(asio::use_awaitable);
+            to = again;
+        }
+        --owner.open_;
+    }
+
+private:
+    /// Whether the job can't have run by this submission.
+    static bool is_refused(transport::call_result const& result)
+    {
+        if (!result)
+            return result.error().stage != transport::call_stage::written;
+        return result->status == 503 || result->status == 429;
+    }
+};
+
+soak_callers::soak_callers(test_support::network_thread& network)
+    : network_(network)
+{
+    network_.run(
+        [this]
+        {
+            client_ = std::make_unique<transport::http_client>(
+                network_.executor(), transport::http_client_limits{});
+        });
+}
+
+soak_callers::~soak_callers()
+{
+    network_.run(
+        [this]
+        {
+            client_.reset();
+        });
+}
+
+void soak_callers::submit(std::uint64_t number, int tasks,
+                          config::socket_address to,
+                          config::socket_address again)
+{
+    std::array<char, 17> id{};
+    std::snprintf(id.data(), id.size(), "%016llx",
+                  static_cast<unsigned long long>(number));
+    ++open_;
+    {
+        std::lock_guard const lock(mutex_);
+        ++report_.sent;
+    }
+    asio::co_spawn(network_.executor(),
+                   job::run(*this, id.data(), tasks, std::move(to),
+                            std::move(again)),
+                   asio::detached);
+}
+
+void soak_callers::note(std::string const& id,
+                        transport::http_response const& response,
+                        bool refused_only)
+{
+    std::lock_guard const lock(mutex_);
+    if (response.status == 200 && response.body == R"({"state":"completed"})")
+        ++report_.completed;
+    else if (response.status == 200 && response.body == R"({"state":"failed"})")
+        ++report_.failed;
+    else if (response.status == 503 || response.status == 429)
+    {
+        if (refused_only)
+            report_.refused.push_back(id);
+        if (response.fields["Retry-After"].empty())
+            report_.odd.push_back(id + " was refused without a time");
+    }
+    else
+        report_.odd.push_back(id + " got " + std::to_string(response.status) +
+                              " " + response.body);
+}
+
+caller_report soak_callers::report() const
+{
+    std::lock_guard const lock(mutex_);
+    return report_;
+}
+
+} // namespace masticshift::gateway_soak
--- /dev/null
+++ b/tools/gateway_soak/src/soak_callers.hpp
@@ -0,0 +1,67 @@
+#ifndef MASTICSHIFT_GATEWAY_SOAK_SOAK_CALLERS_HPP
+#define MASTICSHIFT_GATEWAY_SOAK_SOAK_CALLERS_HPP
+
+#include <config/daemon_settings.hpp>
+#include <test_support/network_thread.hpp>
+#include <transport/http_client.hpp>
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace masticshift::gateway_soak
+{
+
+/// What callers were told of their jobs.
+struct caller_report
+{
+    std::size_t sent = 0;
+    std::size_t completed = 0;
+    std::size_t failed = 0;
+    std::size_t unknown = 0;
+    std::size_t broken = 0;
+    /// Jobs all of whose submissions were refused.
+    std::vector<std::string> refused;
+    /// Answers that are none of the published ones.
+    std::vector<std::string> odd;
+};
+
+/// Callers who send jobs and, after a lost answer, send them again.
+class soak_callers
+{
+public:
+    explicit soak_callers(test_support::network_thread& network);
+    ~soak_callers();
+
+    /// Submits a job of some tasks to a gateway. A lost answer is sent again to
+    /// `again`.
+    void submit(std::uint64_t number, int tasks, config::socket_address to,
+                config::socket_address again);
+
+    /// Jobs without an end.
+    std::size_t open() const
+    {
+        return open_;
+    }
+
+    caller_report report() const;
+
+private:
+    class job;
+
+    void note(std::string const& id, transport::http_response const& response,
+              bool refused_only);
+
+    test_support::network_thread& network_;
+    std::unique_ptr<transport::http_client> client_;
+    std::atomic<std::size_t> open_{0};
+    mutable std::mutex mutex_;
+    caller_report report_;
+};
+
+} // namespace masticshift::gateway_soak
+
+#endif
