--- a/libs/dispatch/include/dispatch/peer_roster.hpp
+++ b/libs/dispatch/include/dispatch/peer_roster.hpp
@@ -77,6 +77,12 @@
     /// Nobody listens at this address.
     void refused(std::string const& address);
 
+    /// A sign of life to this address has got no answer.
+    void note_unanswered(std::string const& address);
+
+    /// The list of entries in the store has been read.
+    void note_directory_read();
+
     bool is_alive(std::string const& address, time_point now) const;
 
     /// Lives that are over since the last call.
@@ -99,12 +105,15 @@
     bool has_rival(std::string const& cell, time_point now) const;
 
     /// Whether this entry should dispatch the cell. Its data centre's entries
-    /// come first, then those without a cell, then the larger ones.
+    /// come first, then those without a cell, then the larger ones. Cells of
+    /// another data centre are left alone for a while, as its own entries may
+    /// be about to start.
     bool should_claim(std::string const& cell, std::string const& data_centre,
-                      time_point now) const;
+                      time_point now);
 
     /// Whether another entry should dispatch the cell in place of this one.
-    bool should_retire(std::string const& cell, time_point now) const;
+    bool should_retire(std::string const& cell, std::string const& data_centre,
+                       time_point now) const;
 
     /// A token higher than all that are known. `unix_seconds` keeps a process
     /// that has just started above its former life.
@@ -141,10 +150,14 @@
     {
         sign_of_life sign;
         time_point heard{};
+        /// Since when it has been heard without a break.
+        time_point alive_since{};
         bool ended = false;
     };
 
     bool is_alive(peer const& known, time_point now) const;
+    bool has_listened(time_point now) const;
+    bool has_stable_entry(std::string const& data_centre, time_point now) const;
     template <class Function>
     void for_each_claim(time_point now, Function const& function) const;
     dispatch_claim const* own_claim(std::string const& cell) const;
@@ -159,6 +172,11 @@
     std::map<std::string, peer> peers_;
     std::set<std::string> candidates_;
     std::vector<entry_identity> ended_;
+    /// Candidates that were heard or did not answer.
+    std::set<std::string> tried_;
+    bool directory_read_ = false;
+    /// Since when a cell has had no dispatcher.
+    std::map<std::string, time_point> orphaned_since_;
     std::size_t turn_ = 0;
 };
 
--- a/libs/dispatch/src/peer_roster.cpp
+++ b/libs/dispatch/src/peer_roster.cpp
@@ -17,9 +17,19 @@
 /// jobs run is stopped before their callers send them again after 1,300 ms.
 constexpr milliseconds dead_after{450};
 
-/// Time after the start in which an entry only listens, so that it hears of a
-/// dispatcher that is already there.
-constexpr milliseconds settle_time{700};
+/// Time after the start in which an entry only listens, so that it hears of the
+/// dispatchers that are already there: two intervals of the signs of life if
+/// every other entry was tried by then, and else until connections that hang
+/// have failed a few times.
+constexpr milliseconds short_settle_time{200};
+constexpr milliseconds settle_time{1'000};
+
+/// The entries of a data centre take their own cells. Those of others step in
+/// after the time in which a process starts again.
+constexpr milliseconds foreign_claim_delay{1'500};
+
+/// A cell goes back to its data centre when an entry there has lived this long.
+constexpr milliseconds stable_after{1'000};
 
 /// Entries that everyone stays in touch with: the dispatcher and those that may
 /// follow it.
@@ -76,7 +86,12 @@
     if (former.incarnation != 0 &&
         former.incarnation != sign.sender.incarnation && !entry.ended)
         ended_.push_back(former);
-    entry = {sign, now, false};
+    auto const since =
+        is_alive(entry, now) && former.incarnation == sign.sender.incarnation
+            ? entry.alive_since
+            : now;
+    entry = {sign, now, since, false};
+    tried_.insert(address);
     for (auto const& claim : sign.claims)
         highest_token_ = std::max(highest_token_, claim.token);
 }
@@ -88,6 +103,38 @@
         found->second.heard = {};
 }
 
+void peer_roster::note_unanswered(std::string const& address)
+{
+    tried_.insert(address);
+}
+
+void peer_roster::note_directory_read()
+{
+    directory_read_ = true;
+}
+
+bool peer_roster::has_listened(time_point now) const
+{
+    if (now - started_ >= settle_time)
+        return true;
+    return now - started_ >= short_settle_time && directory_read_ &&
+           std::ranges::includes(tried_, candidates_);
+}
+
+bool peer_roster::has_stable_entry(std::string const& data_centre,
+                                   time_point now) const
+{
+    return std::ranges::any_of(
+        peers_,
+        [&](auto const& each)
+        {
+            auto const& known = each.second;
+            return known.sign.sender.data_centre == data_centre &&
+                   !known.sign.leaving && is_alive(known, now) &&
+                   now - known.alive_since >= stable_after;
+        });
+}
+
 bool peer_roster::is_alive(peer const& known, time_point now) const
 {
     return known.heard != time_point{} && now - known.heard <= dead_after;
@@ -131,6 +178,8 @@
                           return std::tuple(each->sign.claims.empty(),
                                             rank_of(each->sign.sender));
                       });
+    if (!has_listened(now))
+        return {candidates_.begin(), candidates_.end()};
     std::vector<std::string> chosen;
     for (std::size_t i = 0; i < std::min(alive.size(), watched_entries); ++i)
         chosen.push_back(alive[i]->sign.sender.address);
@@ -221,11 +270,18 @@
 }
 
 bool peer_roster::should_claim(std::string const& cell,
-                               std::string const& data_centre,
-                               time_point now) const
+                               std::string const& data_centre, time_point now)
 {
-    if (leaving_ || own_claim(cell) != nullptr ||
-        now - started_ < settle_time || dispatcher_of(cell, now))
+    if (own_claim(cell) != nullptr || dispatcher_of(cell, now))
+    {
+        orphaned_since_.erase(cell);
+        return false;
+    }
+    auto const orphaned = orphaned_since_.try_emplace(cell, now).first->second;
+    if (leaving_ || !has_listened(now))
+        return false;
+    if (self_.data_centre != data_centre &&
+        now - orphaned < foreign_claim_delay)
         return false;
     auto const own = rank_for(cell, data_centre, self_, claims_);
     return std::ranges::all_of(
@@ -238,12 +294,15 @@
         });
 }
 
-bool peer_roster::should_retire(std::string const& cell, time_point now) const
+bool peer_roster::should_retire(std::string const& cell,
+                                std::string const& data_centre,
+                                time_point now) const
 {
     auto const* const own = own_claim(cell);
     if (own == nullptr || own->retiring)
         return false;
-    bool retire = leaving_;
+    bool retire = leaving_ || (self_.data_centre != data_centre &&
+                               has_stable_entry(data_centre, now));
     for_each_claim(now,
                    [&](entry_identity const&, dispatch_claim const& claim)
                    {
--- a/libs/gateway/src/dispatch_host.hpp
+++ b/libs/gateway/src/dispatch_host.hpp
@@ -51,6 +51,11 @@
     void drop_ended_peers(time_point now);
     void update_roles(time_point now);
     void begin(dispatch::cell const& cell);
+    /// Begins a cell of another data centre if an endpoint of it answers.
+    static asio::awaitable<void> probe(dispatch_host& self,
+                                       dispatch::cell cell);
+    std::optional<dispatch::endpoint_record>
+    some_endpoint(std::string const& cell);
     void update_claims();
     void update_metrics(time_point now);
 
@@ -61,6 +66,9 @@
     dispatch::cell_layout layout_;
     std::map<std::string, dispatch::endpoint_record> records_;
     std::map<std::string, std::shared_ptr<cell_host>> cells_;
+    /// Cells that are being probed.
+    std::set<std::string> probed_;
+    std::size_t turn_ = 0;
 };
 
 } // namespace masticshift::gateway
--- a/libs/gateway/src/peer_exchange.cpp
+++ b/libs/gateway/src/peer_exchange.cpp
@@ -55,6 +55,7 @@
                                  steady_clock::now());
         co_return;
     }
+    self.state_.roster.note_unanswered(peer);
     bool const refused =
         !result.error().sent &&
         result.error().error.code == result_code::peer_unreachable;
@@ -80,6 +81,7 @@
         if (config::parse_socket_address(row.key))
             state_.roster.add_candidate(row.key);
     }
+    state_.roster.note_directory_read();
     co_return true;
 }
 
