--- a/libs/dispatch/include/dispatch/dispatcher.hpp
+++ b/libs/dispatch/include/dispatch/dispatcher.hpp
@@ -109,8 +109,8 @@
     /// Ends all jobs, as this process no longer owns the endpoints.
     void resign(time_point now);
 
-    void update_endpoint(endpoint_record record, time_point now);
-    void remove_endpoint(std::string const& id, time_point now);
+    void update_endpoint(endpoint_record record);
+    void remove_endpoint(std::string const& id);
 
     /// What to ask an endpoint next. Nothing: there is nothing to ask now.
     std::optional<list_order> next_list(std::string const& endpoint,
--- a/libs/dispatch/src/dispatcher.cpp
+++ b/libs/dispatch/src/dispatcher.cpp
@@ -36,7 +36,7 @@
         {event, job.spec.id, task, endpoint, outcome, value});
 }
 
-void dispatcher::impl::update_endpoint(endpoint_record record, time_point now)
+void dispatcher::impl::update_endpoint(endpoint_record record)
 {
     auto const id = record.id;
     removed_.erase(id);
@@ -48,12 +48,9 @@
         wakened_.insert(id);
         return;
     }
-    auto const over = account->begin_new_life(record.started_ms);
-    account->update(std::move(record));
-    for (auto const& each : over)
-        run_ended(*account, each, now);
-    if (!over.empty())
+    if (account->begin_new_life(record.started_ms))
         wakened_.insert(id);
+    account->update(std::move(record));
 }
 
 void dispatcher::impl::raise_token(std::int64_t token)
@@ -82,7 +79,7 @@
     return released;
 }
 
-void dispatcher::impl::remove_endpoint(std::string const& id, time_point)
+void dispatcher::impl::remove_endpoint(std::string const& id)
 {
     auto* const account = find(id);
     if (account == nullptr)
@@ -275,14 +272,14 @@
     impl_->resign(now);
 }
 
-void dispatcher::update_endpoint(endpoint_record record, time_point now)
+void dispatcher::update_endpoint(endpoint_record record)
 {
-    impl_->update_endpoint(std::move(record), now);
+    impl_->update_endpoint(std::move(record));
 }
 
-void dispatcher::remove_endpoint(std::string const& id, time_point now)
+void dispatcher::remove_endpoint(std::string const& id)
 {
-    impl_->remove_endpoint(id, now);
+    impl_->remove_endpoint(id);
 }
 
 std::optional<list_order> dispatcher::next_list(std::string const& endpoint,
--- a/libs/dispatch/src/dispatcher_impl.hpp
+++ b/libs/dispatch/src/dispatcher_impl.hpp
@@ -30,8 +30,8 @@
     void retire(time_point now);
     std::vector<std::string> release_idle();
 
-    void update_endpoint(endpoint_record record, time_point now);
-    void remove_endpoint(std::string const& id, time_point now);
+    void update_endpoint(endpoint_record record);
+    void remove_endpoint(std::string const& id);
 
     std::optional<list_order> next_list(std::string const& endpoint,
                                         time_point now);
--- a/libs/dispatch/src/endpoint_account.cpp
+++ b/libs/dispatch/src/endpoint_account.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <set>
+#include <utility>
 
 namespace masticshift::dispatch
 {
@@ -51,20 +52,19 @@
     return true;
 }
 
-std::vector<run_over> endpoint_account::begin_new_life(std::int64_t started_ms)
+bool endpoint_account::begin_new_life(std::int64_t started_ms)
 {
     if (started_ms == 0 || started_ms == record_.started_ms)
-        return {};
-    auto over = record_.started_ms == 0 ? std::vector<run_over>{} : take_all();
-    if (record_.started_ms != 0)
-    {
-        clock_.reset();
-        seen_end_ = acknowledged_end_ = 0;
+        return false;
+    bool const known = std::exchange(record_.started_ms, started_ms) != 0;
+    if (!known)
+        return false;
+    clock_.reset();
+    seen_end_ = acknowledged_end_ = 0;
+    if (link_ != endpoint_link::outranked)
         link_ = endpoint_link::unread;
-        health_ = {};
-    }
-    record_.started_ms = started_ms;
-    return over;
+    health_ = {};
+    return true;
 }
 
 resources endpoint_account::free() const
@@ -193,7 +193,7 @@
                                           time_point now)
 {
     list_changes changes;
-    changes.over = begin_new_life(list.started_ms);
+    begin_new_life(list.started_ms);
     if (link_ != endpoint_link::outranked)
         link_ = endpoint_link::active;
     for (auto const& ended : list.ended)
--- a/libs/dispatch/src/endpoint_account.hpp
+++ b/libs/dispatch/src/endpoint_account.hpp
@@ -131,9 +131,10 @@
     /// is so.
     bool raise_token(std::int64_t token);
 
-    /// Whether a new life of the endpoint has begun, whose clock and numbers
-    /// start anew. All runs of the former life are over.
-    std::vector<run_over> begin_new_life(std::int64_t started_ms);
+    /// A new life of the endpoint may have begun, whose clock and numbers start
+    /// anew. Its next list tells which runs are over: an order on its way may
+    /// have reached the new life. True if a new life has begun.
+    bool begin_new_life(std::int64_t started_ms);
 
     /// Room for further tasks. None while something foreign runs.
     resources free() const;
--- a/libs/gateway/src/cell_host.cpp
+++ b/libs/gateway/src/cell_host.cpp
@@ -154,7 +154,7 @@
     {
         if (loops_.contains(id) || !may_take(id, now))
             continue;
-        dispatcher_->update_endpoint(record, now);
+        dispatcher_->update_endpoint(record);
         loops_[id] = std::make_shared<asio::steady_timer>(executor_);
         asio::co_spawn(executor_, watch_endpoint(shared_from_this(), id),
                        asio::detached);
@@ -167,14 +167,14 @@
         return;
     records_[record.id] = record;
     if (loops_.contains(record.id))
-        dispatcher_->update_endpoint(record, steady_clock::now());
+        dispatcher_->update_endpoint(record);
 }
 
-void cell_host::remove_endpoint(std::string const& id, time_point now)
+void cell_host::remove_endpoint(std::string const& id)
 {
     records_.erase(id);
     loops_.erase(id);
-    dispatcher_->remove_endpoint(id, now);
+    dispatcher_->remove_endpoint(id);
 }
 
 void cell_host::take_released(std::vector<std::string> const& endpoints,
--- a/libs/gateway/src/cell_host.hpp
+++ b/libs/gateway/src/cell_host.hpp
@@ -41,7 +41,7 @@
     void drop_origin(dispatch::entry_identity const& origin, time_point now);
 
     void update_endpoint(dispatch::endpoint_record const& record);
-    void remove_endpoint(std::string const& id, time_point now);
+    void remove_endpoint(std::string const& id);
 
     /// The former dispatcher of the cell has given up endpoints.
     void take_released(std::vector<std::string> const& endpoints, bool last);
--- a/libs/gateway/src/dispatch_host.cpp
+++ b/libs/gateway/src/dispatch_host.cpp
@@ -63,7 +63,7 @@
         log_event(log_level::info, "endpoint_gone", {{"endpoint", id}});
         records_.erase(id);
         for (auto const& [name, cell] : cells_)
-            cell->remove_endpoint(id, now);
+            cell->remove_endpoint(id);
     }
     for (auto const& record : changes.updated)
         records_[record.id] = record;
