Keep cells while endpoints are replaced; finish begun jobs first

In the burst at 6 s 253 jobs were held to the callers' deadline: some of their tasks had run, the rest waited behind jobs in time. Ruled out: processor (0.15 of a core at most), links. Change: the number of cells that are dispatched stays in force unless it is off by a factor of two; jobs that have begun go first.

--- a/libs/dispatch/include/dispatch/cell_layout.hpp
+++ b/libs/dispatch/include/dispatch/cell_layout.hpp
@@ -18,13 +18,24 @@
     std::string data_centre;
 };
 
+/// Number of cells of each data centre.
+using cell_counts = std::map<std::string, unsigned>;
+
 /// Divides the endpoints into cells that one entry can dispatch each. Depends
-/// on the endpoints alone, so that all entries come to the same.
+/// on the endpoints and on the cells that are dispatched already, so that all
+/// entries come to the same.
 class cell_layout
 {
 public:
     cell_layout() = default;
-    explicit cell_layout(std::vector<endpoint_record> const& endpoints);
+
+    /// `in_force` is kept unless it is far from what the number of endpoints
+    /// asks for: a change makes all cells of the data centre change hands.
+    cell_layout(std::vector<endpoint_record> const& endpoints,
+                cell_counts const& in_force);
+
+    /// The counts that the names of dispatched cells tell.
+    static cell_counts counts_of(std::vector<std::string> const& cells);
 
     /// Ordered by name.
     std::vector<cell> const& cells() const
@@ -35,7 +46,7 @@
     std::string cell_of(endpoint_record const& endpoint) const;
 
 private:
-    std::map<std::string, unsigned> counts_;
+    cell_counts counts_;
     std::vector<cell> cells_;
 };
 
--- a/libs/dispatch/src/cell_layout.cpp
+++ b/libs/dispatch/src/cell_layout.cpp
@@ -2,6 +2,9 @@
 
 #include "stable_hash.hpp"
 
+#include <algorithm>
+#include <charconv>
+
 namespace masticshift::dispatch
 {
 
@@ -12,6 +15,17 @@
 /// of the deployments takes ten.
 constexpr unsigned cell_endpoints = 90;
 
+/// Cells may be this many times smaller or larger before they are divided
+/// anew. Endpoints that are replaced are listed twice for a while.
+constexpr unsigned size_tolerance = 2;
+
+bool is_tolerable(unsigned count, unsigned endpoints)
+{
+    auto const fitting = count * cell_endpoints;
+    return fitting * size_tolerance >= endpoints &&
+           (count == 1 || fitting <= endpoints * 2 * size_tolerance);
+}
+
 /// Doubling keeps the number the same while a few endpoints come and go.
 unsigned count_for(unsigned endpoints)
 {
@@ -30,14 +44,38 @@
 
 } // namespace
 
-cell_layout::cell_layout(std::vector<endpoint_record> const& endpoints)
+cell_counts cell_layout::counts_of(std::vector<std::string> const& cells)
+{
+    cell_counts counts;
+    for (auto const& name : cells)
+    {
+        auto const second = name.rfind('/');
+        auto const first = second == std::string::npos || second == 0
+                               ? std::string::npos
+                               : name.rfind('/', second - 1);
+        if (first == std::string::npos)
+            continue;
+        unsigned count = 0;
+        std::from_chars(name.data() + second + 1, name.data() + name.size(),
+                        count);
+        auto& known = counts[name.substr(0, first)];
+        known = std::max(known, count);
+    }
+    return counts;
+}
+
+cell_layout::cell_layout(std::vector<endpoint_record> const& endpoints,
+                         cell_counts const& in_force)
 {
     std::map<std::string, unsigned> sizes;
     for (auto const& endpoint : endpoints)
         ++sizes[endpoint.data_centre];
     for (auto const& [data_centre, size] : sizes)
     {
-        auto const count = count_for(size);
+        auto const known = in_force.find(data_centre);
+        bool const keep = known != in_force.end() && known->second > 0 &&
+                          is_tolerable(known->second, size);
+        auto const count = keep ? known->second : count_for(size);
         counts_[data_centre] = count;
         for (unsigned number = 0; number < count; ++number)
             cells_.push_back(
--- a/libs/dispatch/src/dispatcher_jobs.cpp
+++ b/libs/dispatch/src/dispatcher_jobs.cpp
@@ -107,7 +107,8 @@
     if (capacity <= 0)
         return {};
     auto const chain = chain_time(job.spec);
-    wait_queue::key const place{false, job.objective - chain, job.number};
+    wait_queue::key const place{wait_class::in_time, job.objective - chain,
+                                job.number};
     duration wait{0};
     for (auto const& [key, ahead] : queue_.jobs())
     {
@@ -125,7 +126,10 @@
 void dispatcher::impl::enqueue(job_ptr const& job, time_point now)
 {
     auto const latest_start = job->objective - chain_time(job->spec);
-    queue_.put(job, now > latest_start, latest_start);
+    auto const standing = job->offered          ? wait_class::begun
+                          : now > latest_start ? wait_class::late
+                                               : wait_class::in_time;
+    queue_.put(job, standing, latest_start);
 }
 
 void dispatcher::impl::finish(job_ptr const& job, job_result result,
@@ -204,7 +208,8 @@
             job->accepted + (job->objective - job->accepted) / early_part;
         if (!job->offered && !job->wait_checked && now >= early)
             due.push_back(job);
-        else if (!key.late && now > key.latest_start)
+        else if (key.standing == wait_class::in_time &&
+                 now > key.latest_start)
             due.push_back(job);
     }
     for (auto const& job : due)
--- a/libs/dispatch/src/dispatcher_placement.cpp
+++ b/libs/dispatch/src/dispatcher_placement.cpp
@@ -63,6 +63,7 @@
         return;
     auto largest = largest_free();
     std::vector<job_ptr> placed;
+    std::vector<job_ptr> begun;
     for (auto const& [key, job] : queue_.jobs())
     {
         auto const& step = job->spec.steps.front();
@@ -76,9 +77,13 @@
             largest = largest_free();
         if (job->waiting_tasks == 0)
             placed.push_back(job);
+        else if (job->offered && key.standing != wait_class::begun)
+            begun.push_back(job);
     }
     for (auto const& job : placed)
         queue_.remove(*job);
+    for (auto const& job : begun)
+        enqueue(job, now);
 }
 
 void dispatcher::impl::place_job(job_ptr const& job, time_point now)
--- a/libs/dispatch/src/wait_queue.hpp
+++ b/libs/dispatch/src/wait_queue.hpp
@@ -9,15 +9,24 @@
 namespace masticshift::dispatch
 {
 
-/// Jobs that have tasks to be placed, in the order in which they are served:
-/// first those that can still meet their objective, the one that has to start
-/// soonest first; then those that are late.
+/// How far a waiting job has come, in the order of service.
+enum class wait_class
+{
+    /// Some of its tasks run or are done: the rest makes them worth it.
+    begun,
+    /// It can still meet its objective.
+    in_time,
+    late
+};
+
+/// Jobs that have tasks to be placed, in the order in which they are served: by
+/// class, and in a class the one that has to start soonest first.
 class wait_queue
 {
 public:
     struct key
     {
-        bool late = false;
+        wait_class standing = wait_class::in_time;
         time_point latest_start;
         std::uint64_t number = 0;
 
@@ -27,10 +36,10 @@
     using map = std::map<key, job_ptr>;
 
     /// Adds a job or changes its place.
-    void put(job_ptr const& job, bool late, time_point latest_start)
+    void put(job_ptr const& job, wait_class standing, time_point latest_start)
     {
         remove(*job);
-        key const place{late, latest_start, job->number};
+        key const place{standing, latest_start, job->number};
         places_[job->number] = place;
         jobs_[place] = job;
     }
--- a/libs/dispatch/tests/cell_test.cpp
+++ b/libs/dispatch/tests/cell_test.cpp
@@ -40,7 +40,7 @@
 TEST_CASE("a data centre with many endpoints has several cells of like size")
 {
     auto const endpoints = make_endpoints("a", 117);
-    cell_layout const layout(endpoints);
+    cell_layout const layout(endpoints, {});
     REQUIRE(layout.cells().size() == 2);
     std::map<std::string, int> sizes;
     for (auto const& endpoint : endpoints)
@@ -48,7 +48,7 @@
     CHECK(sizes.size() == 2);
     for (auto const& [name, size] : sizes)
         CHECK(size > 30);
-    CHECK(cell_layout(make_endpoints("a", 16)).cells().size() == 1);
+    CHECK(cell_layout(make_endpoints("a", 16), {}).cells().size() == 1);
     CHECK(cell_layout().cells().empty());
 }
 
@@ -81,3 +81,16 @@
     CHECK(choice->cell == "b/0/1");
     CHECK_FALSE(choice->only_if_idle);
 }
+
+TEST_CASE("cells in force stay while endpoints are replaced")
+{
+    auto const endpoints = make_endpoints("a", 101);
+    CHECK(cell_layout(endpoints, {}).cells().size() == 2);
+    auto const in_force = cell_layout::counts_of({"a/0/1", "b/1/4"});
+    CHECK(in_force.at("a") == 1);
+    CHECK(in_force.at("b") == 4);
+    CHECK(cell_layout(endpoints, in_force).cells().size() == 1);
+    CHECK(cell_layout(make_endpoints("a", 200), in_force).cells().size() == 4);
+    CHECK(cell_layout(make_endpoints("b", 20), in_force).cells().size() == 1);
+    CHECK(cell_layout::counts_of({"", "/", "a", "a/b"}).empty());
+}
--- a/libs/dispatch/tests/dispatcher_test.cpp
+++ b/libs/dispatch/tests/dispatcher_test.cpp
@@ -346,3 +346,19 @@
     REQUIRE(finished.size() == 1);
     CHECK(finished[0].result.end == job_end::completed);
 }
+
+TEST_CASE("the rest of a job that has begun goes before jobs that have not")
+{
+    bench b(1);
+    b.tested.submit(make_spec("begun", 4), "home", b.now);
+    auto urgent = make_spec("urgent", 2);
+    urgent.target_latency = milliseconds(20);
+    b.tested.submit(urgent, "home", b.now);
+    b.carry_out();
+    b.pass(milliseconds(61));
+    b.read("e0");
+    auto const starts = b.tested.take_starts();
+    REQUIRE(starts.size() == 2);
+    CHECK(starts[0].run.task.starts_with("begun"));
+    CHECK(starts[1].run.task.starts_with("begun"));
+}
--- a/libs/gateway/src/dispatch_host.cpp
+++ b/libs/gateway/src/dispatch_host.cpp
@@ -56,8 +56,6 @@
 void dispatch_host::feed_registry(time_point now)
 {
     auto const changes = state_.registry.take_changes(now);
-    if (changes.updated.empty() && changes.removed.empty())
-        return;
     for (auto const& id : changes.removed)
     {
         log_event(log_level::info, "endpoint_gone", {{"endpoint", id}});
@@ -67,10 +65,7 @@
     }
     for (auto const& record : changes.updated)
         records_[record.id] = record;
-    std::vector<dispatch::endpoint_record> all;
-    for (auto const& [id, record] : records_)
-        all.push_back(record);
-    layout_ = dispatch::cell_layout(all);
+    update_layout(!changes.updated.empty() || !changes.removed.empty(), now);
     for (auto const& record : changes.updated)
     {
         auto const found = cells_.find(layout_.cell_of(record));
@@ -79,6 +74,21 @@
     }
 }
 
+void dispatch_host::update_layout(bool endpoints_changed, time_point now)
+{
+    std::vector<std::string> dispatched;
+    for (auto const& each : state_.roster.dispatchers(now))
+        dispatched.push_back(each.claim.cell);
+    auto in_force = dispatch::cell_layout::counts_of(dispatched);
+    if (!endpoints_changed && in_force == in_force_)
+        return;
+    in_force_ = std::move(in_force);
+    std::vector<dispatch::endpoint_record> all;
+    for (auto const& [id, record] : records_)
+        all.push_back(record);
+    layout_ = dispatch::cell_layout(all, in_force_);
+}
+
 void dispatch_host::update_roles(time_point now)
 {
     for (auto const& cell : layout_.cells())
--- a/libs/gateway/src/dispatch_host.hpp
+++ b/libs/gateway/src/dispatch_host.hpp
@@ -48,6 +48,7 @@
 
 private:
     void feed_registry(time_point now);
+    void update_layout(bool endpoints_changed, time_point now);
     void drop_ended_peers(time_point now);
     void update_roles(time_point now);
     void begin(dispatch::cell const& cell);
@@ -64,6 +65,7 @@
     peer_link::peer_client& peers_;
     asio::any_io_executor executor_;
     dispatch::cell_layout layout_;
+    dispatch::cell_counts in_force_;
     std::map<std::string, dispatch::endpoint_record> records_;
     std::map<std::string, std::shared_ptr<cell_host>> cells_;
     /// Cells that are being probed.
