--- a/libs/dispatch/src/dispatcher_impl.hpp
+++ b/libs/dispatch/src/dispatcher_impl.hpp
@@ -71,7 +71,11 @@
     void check_waiting(time_point now);
     void check_abandoned(time_point now);
 
-    bool can_start_all(job_state const& job, time_point now) const;
+    /// Whether all first tasks of a job have an idle place on which they end
+    /// before `finish_by`.
+    bool can_start_all(job_state const& job, time_point finish_by,
+                       time_point now) const;
+    time_point idle_limit(job_state const& job, time_point now) const;
     void place(time_point now);
     void place_job(job_ptr const& job, time_point now);
     bool place_task(job_ptr const& job, std::size_t index, time_point now);
--- a/libs/dispatch/src/dispatcher_jobs.cpp
+++ b/libs/dispatch/src/dispatcher_jobs.cpp
@@ -1,6 +1,7 @@
 #include "dispatcher_impl.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace masticshift::dispatch
 {
@@ -60,7 +61,7 @@
         finish(job, {job_end::refused, end_reason::not_dispatcher}, now);
         return;
     }
-    if (job->spec.only_if_idle && !can_start_all(*job, now))
+    if (job->spec.only_if_idle && !can_start_all(*job, idle_limit(*job, now), now))
     {
         finish(job, {job_end::refused, end_reason::busy_cell}, now);
         return;
@@ -89,7 +90,7 @@
     }
     auto const slack = job.objective - now - chain_time(job.spec);
     auto const wait = wait_ahead_of(job, slack);
-    if (wait > slack)
+    if (wait > slack && !can_start_all(job, time_point::max(), now))
         return refused(end_reason::overloaded, wait - slack);
     return std::nullopt;
 }
@@ -202,27 +203,25 @@
 void dispatcher::impl::check_waiting(time_point now)
 {
     std::vector<job_ptr> due;
+    std::vector<job_ptr> hopeless;
     for (auto const& [key, job] : queue_.jobs())
     {
         auto const early =
             job->accepted + (job->objective - job->accepted) / early_part;
-        if (!job->offered && !job->wait_checked && now >= early)
-            due.push_back(job);
+        // A late job had one chance to start on what is idle.
+        if (key.standing == wait_class::late)
+            hopeless.push_back(job);
         else if (key.standing == wait_class::in_time &&
-                 now > key.latest_start)
+                 (now > key.latest_start ||
+                  (!job->wait_checked && now >= early)))
             due.push_back(job);
     }
+    for (auto const& job : hopeless)
+        finish(job, refused(end_reason::overloaded, least_retry), now);
     for (auto const& job : due)
     {
-        bool const late = now > job->objective - chain_time(job->spec);
-        if (!job->offered && late)
-        {
-            finish(job, refused(end_reason::overloaded, least_retry), now);
-            continue;
-        }
-        if (!job->offered && !job->wait_checked)
+        if (!std::exchange(job->wait_checked, true))
         {
-            job->wait_checked = true;
             if (auto const refusal = refusal_of(*job, now))
             {
                 finish(job, *refusal, now);
--- a/libs/dispatch/src/dispatcher_placement.cpp
+++ b/libs/dispatch/src/dispatcher_placement.cpp
@@ -37,13 +37,17 @@
     return largest;
 }
 
-bool dispatcher::impl::can_start_all(job_state const& job,
+time_point dispatcher::impl::idle_limit(job_state const& job,
+                                        time_point now) const
+{
+    return now + std::chrono::duration_cast<duration>((job.objective - now) *
+                                                      idle_part);
+}
+
+bool dispatcher::impl::can_start_all(job_state const& job, time_point finish_by,
                                      time_point now) const
 {
     placement_choice const choice(accounts_, speeds_, limits_.remote_factor);
-    auto const finish_by =
-        now + std::chrono::duration_cast<duration>((job.objective - now) *
-                                                   idle_part);
     for (std::size_t number = 0; number < job.spec.steps.size(); ++number)
     {
         auto const& step = job.spec.steps[number];
@@ -71,6 +75,10 @@
             break;
         if (job->spec.steps.size() == 1 && step.need.processor > largest)
             continue;
+        // The start of a late job must not hold up those in time.
+        if (key.standing == wait_class::late &&
+            !can_start_all(*job, time_point::max(), now))
+            continue;
         auto const before = job->waiting_tasks;
         place_job(job, now);
         if (job->waiting_tasks != before)
--- a/libs/dispatch/src/placement_choice.cpp
+++ b/libs/dispatch/src/placement_choice.cpp
@@ -107,7 +107,8 @@
     {
         if (!admits(*account, job, step, step_number, now) ||
             account->health().trust(now) != endpoint_trust::full ||
-            now + expected_on(*account, job, step) > finish_by)
+            (finish_by != time_point::max() &&
+             now + expected_on(*account, job, step) > finish_by))
             continue;
         auto const need = std::max<std::int64_t>(step.need.processor, 1);
         places += account->free().processor / need;
