--- a/libs/config/src/gateway_settings.cpp
+++ b/libs/config/src/gateway_settings.cpp
@@ -36,15 +36,15 @@
                                                  listen_rule),
     member_key<&gateway_identity::peer_address>("peer_address", required,
                                                 connect_rule),
-    member_key<&gateway_identity::peer_listen_address>(
-        "peer_listen_address", optional, listen_rule),
+    member_key<&gateway_identity::peer_listen_address>("peer_listen_address",
+                                                       optional, listen_rule),
     member_key<&gateway_identity::metrics_address>("metrics_address", optional,
                                                    listen_rule),
     member_key<&gateway_identity::processors>("processors", optional,
                                               {0, max_processors})};
 
-constexpr std::array peer_keys{member_key<&gateway_settings::seeds>(
-    "addresses", optional, connect_rule)};
+constexpr std::array peer_keys{
+    member_key<&gateway_settings::seeds>("addresses", optional, connect_rule)};
 
 constexpr std::array store_keys{member_key<&gateway_settings::store_address>(
     "address", required, connect_rule)};
@@ -101,8 +101,7 @@
         read_section(root, "gateway", gateway_keys, settings.gateway));
     BOOST_LEAF_CHECK(read_section(root, "peers", peer_keys, settings));
     BOOST_LEAF_CHECK(read_section(root, "store", store_keys, settings));
-    BOOST_LEAF_CHECK(
-        read_section(root, "bounds", bound_keys, settings.bounds));
+    BOOST_LEAF_CHECK(read_section(root, "bounds", bound_keys, settings.bounds));
     BOOST_LEAF_CHECK(read_section(root, "log", log_keys, settings.log));
     auto& own = settings.gateway;
     if (own.peer_listen_address.ip.empty())
--- /dev/null
+++ b/libs/config/tests/gateway_settings_test.cpp
@@ -0,0 +1,86 @@
+#include <config/gateway_settings.hpp>
+
+#include "to_outcome.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace masticshift;
+using namespace masticshift::config;
+
+namespace
+{
+
+constexpr auto complete = R"([gateway]
+name = "edge-1"
+data_centre = "north"
+caller_address = "10.0.0.1:80"
+ready_address = "10.0.0.1:81"
+peer_address = "10.0.0.1:82"
+processors = 0.25
+
+[peers]
+addresses = ["10.0.0.2:82"]
+
+[store]
+address = "10.9.9.9:1"
+
+[bounds]
+longest_lease_ms = 900
+remote_factor = 1.5
+grace_seconds = 6.5
+)";
+
+outcome<gateway_settings> parse(std::string const& text)
+{
+    return to_outcome<gateway_settings>(
+        [&]
+        {
+            return parse_gateway_settings(text, "test");
+        });
+}
+
+} // namespace
+
+TEST_CASE("settings of a gateway are read, with defaults for the rest")
+{
+    auto const settings = parse(complete);
+    REQUIRE(settings.has_value());
+    CHECK(settings->gateway.name == "edge-1");
+    CHECK(settings->gateway.processors == doctest::Approx(0.25));
+    CHECK(settings->gateway.peer_listen_address ==
+          settings->gateway.peer_address);
+    CHECK(settings->seeds.size() == 1);
+    CHECK(settings->bounds.longest_lease == milliseconds(900));
+    CHECK(settings->bounds.stop == milliseconds(50));
+    CHECK(settings->bounds.grace_seconds == doctest::Approx(6.5));
+}
+
+TEST_CASE("settings of a gateway that are wrong are refused with a number")
+{
+    auto const code_of = [](std::string const& text)
+    {
+        auto const settings = parse(text);
+        return settings ? result_code::ok : settings.error().code;
+    };
+    std::string const text = complete;
+    CHECK(code_of(text + "[odd]\n") == result_code::config_unknown_key);
+    CHECK(code_of(text + "odd = 1\n") == result_code::config_unknown_key);
+    CHECK(code_of("[gateway]\nname = \"x\"\n") ==
+          result_code::config_missing_key);
+    auto const with = [&](std::string const& old, std::string const& changed)
+    {
+        auto copy = text;
+        copy.replace(copy.find(old), old.size(), changed);
+        return code_of(copy);
+    };
+    CHECK(with("0.25", "\"much\"") == result_code::config_wrong_type);
+    CHECK(with("0.25", "-1") == result_code::config_out_of_range);
+    CHECK(with("900", "1") == result_code::config_out_of_range);
+}
+
+TEST_CASE("a settings text tells by its tables which program it is for")
+{
+    CHECK(is_gateway_text(complete));
+    CHECK_FALSE(is_gateway_text("[entry]\n"));
+    CHECK_FALSE(is_gateway_text("[gateway"));
+}
--- a/libs/daemon/src/configuration_fetcher.hpp
+++ b/libs/daemon/src/configuration_fetcher.hpp
@@ -19,8 +19,7 @@
 {
 
 using configuration_store =
-    store::configuration_store<store::http_platform,
-                                  store::timer_wait>;
+    store::configuration_store<store::http_platform, store::timer_wait>;
 
 /// Fetches configurations that are newer than the one in force, from a peer or
 /// from the platform, and puts them in force.
--- a/libs/dispatch/src/dispatcher.cpp
+++ b/libs/dispatch/src/dispatcher.cpp
@@ -32,8 +32,7 @@
                             std::string const& endpoint,
                             std::string_view outcome, double value)
 {
-    decisions_.push_back(
-        {event, job.spec.id, task, endpoint, outcome, value});
+    decisions_.push_back({event, job.spec.id, task, endpoint, outcome, value});
 }
 
 void dispatcher::impl::update_endpoint(endpoint_record record)
@@ -130,8 +129,7 @@
     auto* const account = find(endpoint);
     if (account == nullptr)
         return;
-    decisions_.push_back(
-        {"list_failed", {}, {}, endpoint, name_of(answer), 0});
+    decisions_.push_back({"list_failed", {}, {}, endpoint, name_of(answer), 0});
     if (answer == order_answer::outranked)
         account->note_outranked();
     else
@@ -213,24 +211,22 @@
 
 std::size_t dispatcher::outranked() const
 {
-    return static_cast<std::size_t>(
-        std::ranges::count_if(impl_->accounts_,
-                              [](auto const& each)
-                              {
-                                  return each.second->link() ==
-                                         endpoint_link::outranked;
-                              }));
+    return static_cast<std::size_t>(std::ranges::count_if(
+        impl_->accounts_,
+        [](auto const& each)
+        {
+            return each.second->link() == endpoint_link::outranked;
+        }));
 }
 
 std::size_t dispatcher::usable() const
 {
-    return static_cast<std::size_t>(
-        std::ranges::count_if(impl_->accounts_,
-                              [](auto const& each)
-                              {
-                                  return each.second->link() ==
-                                         endpoint_link::active;
-                              }));
+    return static_cast<std::size_t>(std::ranges::count_if(
+        impl_->accounts_,
+        [](auto const& each)
+        {
+            return each.second->link() == endpoint_link::active;
+        }));
 }
 
 std::int64_t dispatcher::free_processor() const
@@ -249,8 +245,7 @@
     impl_->submit(std::move(spec), std::move(origin), now);
 }
 
-bool dispatcher::has_job(std::string const& id,
-                         std::string const& origin) const
+bool dispatcher::has_job(std::string const& id, std::string const& origin) const
 {
     auto const found = impl_->jobs_.find(id);
     return found != impl_->jobs_.end() && found->second->origin == origin;
--- a/libs/dispatch/src/dispatcher_impl.hpp
+++ b/libs/dispatch/src/dispatcher_impl.hpp
@@ -8,8 +8,10 @@
 
 #include <dispatch/dispatcher.hpp>
 
+#include <deque>
 #include <set>
 #include <unordered_map>
+#include <utility>
 
 namespace masticshift::dispatch
 {
@@ -68,6 +70,8 @@
     duration wait_ahead_of(job_state const& job, duration latest) const;
     void enqueue(job_ptr const& job, time_point now);
     void finish(job_ptr const& job, job_result result, time_point now);
+    void remember(std::string const& id, time_point now);
+    bool was_completed(std::string const& id) const;
     void check_waiting(time_point now);
     void check_abandoned(time_point now);
 
@@ -104,6 +108,9 @@
     /// Runs by task that may be at work, also those of ended jobs.
     std::unordered_map<std::string, int> live_runs_;
     std::set<std::string> removed_;
+    /// Jobs that were completed lately, the oldest first.
+    std::deque<std::pair<time_point, std::string>> completed_;
+    std::set<std::string> completed_ids_;
     time_point progress_checked_{};
     bool retiring_ = false;
 };
--- a/libs/dispatch/src/dispatcher_jobs.cpp
+++ b/libs/dispatch/src/dispatcher_jobs.cpp
@@ -16,11 +16,15 @@
 constexpr milliseconds least_retry{200};
 constexpr milliseconds longest_retry{5'000};
 
+/// A job is sent again 1.3 s after a lost answer, and sometimes seconds after
+/// an answer that arrived.
+constexpr milliseconds completed_kept{15'000};
+
 job_result refused(end_reason reason, duration wait)
 {
-    auto const pause = std::clamp(
-        std::chrono::duration_cast<milliseconds>(wait), least_retry,
-        longest_retry);
+    auto const pause =
+        std::clamp(std::chrono::duration_cast<milliseconds>(wait), least_retry,
+                   longest_retry);
     return {job_end::refused, reason, pause};
 }
 
@@ -41,8 +45,33 @@
     return longest;
 }
 
+void dispatcher::impl::remember(std::string const& id, time_point now)
+{
+    if (completed_ids_.insert(id).second)
+        completed_.emplace_back(now, id);
+    while (!completed_.empty() &&
+           now - completed_.front().first > completed_kept)
+    {
+        completed_ids_.erase(completed_.front().second);
+        completed_.pop_front();
+    }
+}
+
+bool dispatcher::impl::was_completed(std::string const& id) const
+{
+    return completed_ids_.contains(id);
+}
+
 void dispatcher::impl::submit(job_spec spec, std::string origin, time_point now)
 {
+    if (was_completed(spec.id))
+    {
+        finished_.push_back({spec.id,
+                             std::move(origin),
+                             {job_end::completed, end_reason::none},
+                             now});
+        return;
+    }
     auto const known = jobs_.find(spec.id);
     if (known != jobs_.end())
     {
@@ -52,8 +81,8 @@
     auto job = make_job(std::move(spec), std::move(origin), next_job_++, now);
     auto const chain = chain_time(job->spec);
     job->objective =
-        now + std::chrono::duration_cast<duration>(
-                  chain * job->spec.slack_factor) +
+        now +
+        std::chrono::duration_cast<duration>(chain * job->spec.slack_factor) +
         job->spec.target_latency;
     jobs_[job->spec.id] = job;
     if (retiring_)
@@ -61,7 +90,8 @@
         finish(job, {job_end::refused, end_reason::not_dispatcher}, now);
         return;
     }
-    if (job->spec.only_if_idle && !can_start_all(*job, idle_limit(*job, now), now))
+    if (job->spec.only_if_idle &&
+        !can_start_all(*job, idle_limit(*job, now), now))
     {
         finish(job, {job_end::refused, end_reason::busy_cell}, now);
         return;
@@ -102,8 +132,8 @@
     for (auto const& [id, account] : accounts_)
     {
         if (account->takes_work())
-            capacity += static_cast<double>(
-                account->record().capacity.processor);
+            capacity +=
+                static_cast<double>(account->record().capacity.processor);
     }
     if (capacity <= 0)
         return {};
@@ -127,7 +157,7 @@
 void dispatcher::impl::enqueue(job_ptr const& job, time_point now)
 {
     auto const latest_start = job->objective - chain_time(job->spec);
-    auto const standing = job->offered          ? wait_class::begun
+    auto const standing = job->offered         ? wait_class::begun
                           : now > latest_start ? wait_class::late
                                                : wait_class::in_time;
     queue_.put(job, standing, latest_start);
@@ -143,6 +173,8 @@
     auto const known = jobs_.find(job->spec.id);
     if (known != jobs_.end() && known->second == job)
         jobs_.erase(known);
+    if (result.end == job_end::completed)
+        remember(job->spec.id, now);
     if (result.end == job_end::refused && job->offered)
         result.end = job_end::unknown;
     for (auto const& task : job->tasks)
--- a/libs/dispatch/src/dispatcher_placement.cpp
+++ b/libs/dispatch/src/dispatcher_placement.cpp
@@ -131,9 +131,8 @@
     run.expected = place.expected;
     auto const until = place.endpoint->begin_run(key, run, now);
     ++live_runs_[task.name];
-    starts_.push_back(
-        {task.endpoint, key, job->spec.payload, until,
-         place.endpoint->token()});
+    starts_.push_back({task.endpoint, key, job->spec.payload, until,
+                       place.endpoint->token()});
     wakened_.insert(task.endpoint);
     note("task_placed", *job, task.name, task.endpoint, "ordered",
          to_milliseconds(place.expected));
@@ -254,10 +253,9 @@
         put_back(over->run.job, over->run.task, now);
 }
 
-void dispatcher::impl::start_answered(start_order const& order,
-                                      order_answer answer,
-                                      std::optional<std::int64_t> endpoint_clock,
-                                      time_point now)
+void dispatcher::impl::start_answered(
+    start_order const& order, order_answer answer,
+    std::optional<std::int64_t> endpoint_clock, time_point now)
 {
     auto* const account = find(order.endpoint);
     if (account == nullptr)
@@ -341,11 +339,10 @@
 duration dispatcher::impl::restart_time(placed_run const& run, time_point now)
 {
     auto const& task = run.job->tasks[run.task];
-    auto const& step =
-        run.job->spec.steps[static_cast<std::size_t>(task.step)];
+    auto const& step = run.job->spec.steps[static_cast<std::size_t>(task.step)];
     placement_choice const choice(accounts_, speeds_, limits_.remote_factor);
-    auto const place = choice.choose(*run.job, step, task.step,
-                                     time_point::max(), now);
+    auto const place =
+        choice.choose(*run.job, step, task.step, time_point::max(), now);
     return place.endpoint == nullptr ? duration::max() / 8 : place.expected;
 }
 
--- a/libs/dispatch/src/endpoint_calls.cpp
+++ b/libs/dispatch/src/endpoint_calls.cpp
@@ -9,9 +9,8 @@
 {
 
 constexpr std::array answer_names{
-    "accepted",  "outranked",      "run_too_old", "too_late",
-    "no_room",   "malformed",      "unhealthy",   "other_instance",
-    "not_sent",  "unanswered"};
+    "accepted",  "outranked", "run_too_old",    "too_late", "no_room",
+    "malformed", "unhealthy", "other_instance", "not_sent", "unanswered"};
 
 constexpr std::array end_names{"done", "failed", "stopped", "lapsed",
                                "group_broken"};
--- a/libs/dispatch/src/peer_roster.cpp
+++ b/libs/dispatch/src/peer_roster.cpp
@@ -209,8 +209,7 @@
 
 dispatch_claim const* peer_roster::own_claim(std::string const& cell) const
 {
-    auto const found =
-        std::ranges::find(claims_, cell, &dispatch_claim::cell);
+    auto const found = std::ranges::find(claims_, cell, &dispatch_claim::cell);
     return found == claims_.end() ? nullptr : &*found;
 }
 
@@ -235,8 +234,8 @@
     return all;
 }
 
-std::optional<std::string>
-peer_roster::dispatcher_of(std::string const& cell, time_point now) const
+std::optional<std::string> peer_roster::dispatcher_of(std::string const& cell,
+                                                      time_point now) const
 {
     for (auto const& each : dispatchers(now))
     {
@@ -401,12 +400,12 @@
 
 std::size_t peer_roster::alive_count(time_point now) const
 {
-    return static_cast<std::size_t>(std::ranges::count_if(
-        peers_,
-        [&](auto const& each)
-        {
-            return is_alive(each.second, now);
-        }));
+    return static_cast<std::size_t>(
+        std::ranges::count_if(peers_,
+                              [&](auto const& each)
+                              {
+                                  return is_alive(each.second, now);
+                              }));
 }
 
 } // namespace masticshift::dispatch
--- a/libs/dispatch/src/placement_choice.cpp
+++ b/libs/dispatch/src/placement_choice.cpp
@@ -47,8 +47,8 @@
                                        job_step const& step) const
 {
     auto const& record = account.record();
-    auto const near = speeds_.expected(job.spec.queue, record.vm,
-                                       step.estimate);
+    auto const near =
+        speeds_.expected(job.spec.queue, record.vm, step.estimate);
     if (step.preferred_rack.empty() || record.has_label(step.preferred_rack))
         return near;
     return std::chrono::duration_cast<duration>(near * remote_factor_);
--- a/libs/dispatch/src/placement_choice.hpp
+++ b/libs/dispatch/src/placement_choice.hpp
@@ -36,8 +36,9 @@
     /// are about equally fast, the one whose room it fills best. Only
     /// endpoints on which it ends before `finish_by`. Nothing when there is
     /// none.
-    placement choose(job_state const& job, job_step const& step, int step_number,
-                     time_point finish_by, time_point now) const;
+    placement choose(job_state const& job, job_step const& step,
+                     int step_number, time_point finish_by,
+                     time_point now) const;
 
     /// How many tasks could start now on trusted endpoints, and end before
     /// `finish_by`.
--- a/libs/dispatch/src/speed_book.cpp
+++ b/libs/dispatch/src/speed_book.cpp
@@ -53,8 +53,7 @@
 {
     auto const factor = std::exp(log_ratio(queue) - log_speed(vm));
     return std::chrono::duration_cast<duration>(
-        std::chrono::duration<double>(std::max(estimate, least_time)) *
-        factor);
+        std::chrono::duration<double>(std::max(estimate, least_time)) * factor);
 }
 
 duration speed_book::expected(std::string const& queue, duration estimate) const
--- a/libs/dispatch/tests/cell_test.cpp
+++ b/libs/dispatch/tests/cell_test.cpp
@@ -55,9 +55,9 @@
 TEST_CASE("a job goes to the own data centre first, then to the most room")
 {
     auto const job = make_spec("a", 2);
-    std::vector<cell_dispatcher> const cells{
-        make_cell("a/0/1", 0), make_cell("b/0/1", 20'000),
-        make_cell("c/0/1", 90'000)};
+    std::vector<cell_dispatcher> const cells{make_cell("a/0/1", 0),
+                                             make_cell("b/0/1", 20'000),
+                                             make_cell("c/0/1", 90'000)};
     auto const first = choose_cell(cells, "a", job, {});
     REQUIRE(first);
     CHECK(first->cell == "a/0/1");
--- a/libs/dispatch/tests/dispatcher_test.cpp
+++ b/libs/dispatch/tests/dispatcher_test.cpp
@@ -56,8 +56,8 @@
     {
         for (auto const& order : tested.take_starts())
         {
-            auto const answer = models.at(order.endpoint)
-                                    .start(order, clock(), run_time, fail);
+            auto const answer =
+                models.at(order.endpoint).start(order, clock(), run_time, fail);
             tested.start_answered(order, answer, clock(), now);
         }
         for (auto const& order : tested.take_stops())
@@ -187,8 +187,8 @@
     // An endpoint that another dispatcher has used before.
     bench fresh(0);
     fresh.models.emplace("e0", endpoint_model(make_endpoint("e0")));
-    fresh.models.at("e0").start(foreign, fresh.clock(),
-                                milliseconds(5'000), false);
+    fresh.models.at("e0").start(foreign, fresh.clock(), milliseconds(5'000),
+                                false);
     fresh.tested.update_endpoint(make_endpoint("e0"));
     fresh.read("e0");
     auto const stops = fresh.tested.take_stops();
@@ -362,3 +362,20 @@
     CHECK(starts[0].run.task.starts_with("begun"));
     CHECK(starts[1].run.task.starts_with("begun"));
 }
+
+TEST_CASE("a job that was completed is answered again and does not run again")
+{
+    bench b(1);
+    b.tested.submit(make_spec("a", 1), "home", b.now);
+    b.carry_out();
+    b.pass(milliseconds(70));
+    b.read_all();
+    REQUIRE(b.tested.take_finished().size() == 1);
+    b.pass(milliseconds(3'000));
+    b.tested.submit(make_spec("a", 1), "other", b.now);
+    CHECK(b.tested.take_starts().empty());
+    auto const finished = b.tested.take_finished();
+    REQUIRE(finished.size() == 1);
+    CHECK(finished[0].origin == "other");
+    CHECK(finished[0].result.end == job_end::completed);
+}
--- a/libs/dispatch/tests/interleaving_test.cpp
+++ b/libs/dispatch/tests/interleaving_test.cpp
@@ -43,8 +43,8 @@
         for (int i = 0; i < 4; ++i)
         {
             auto const id = "e" + std::to_string(i);
-            endpoints_.push_back({endpoint_model(make_endpoint(id)),
-                                  0.98 + 0.005 * i});
+            endpoints_.push_back(
+                {endpoint_model(make_endpoint(id)), 0.98 + 0.005 * i});
         }
         begin_dispatcher();
     }
@@ -103,8 +103,8 @@
 
     std::int64_t clock(endpoint const& of) const
     {
-        return static_cast<std::int64_t>(
-            to_milliseconds(now_ - time_point{}) * of.rate);
+        return static_cast<std::int64_t>(to_milliseconds(now_ - time_point{}) *
+                                         of.rate);
     }
 
     endpoint& find(std::string const& id)
@@ -219,8 +219,8 @@
                                 now_);
             return;
         }
-        auto const length = run_length(order.run.task.substr(
-            0, order.run.task.find('.')));
+        auto const length =
+            run_length(order.run.task.substr(0, order.run.task.find('.')));
         auto const answer = to.model.start(order, clock(to), length,
                                            chance(rates_.failed_runs));
         if (chance(rates_.lost_answers))
@@ -293,8 +293,8 @@
         std::set<std::string> seen;
         for (auto& endpoint : endpoints_)
         {
-            for (auto const& task : endpoint.model.running_tasks(
-                     clock(endpoint)))
+            for (auto const& task :
+                 endpoint.model.running_tasks(clock(endpoint)))
                 ran_twice_ = ran_twice_ || !seen.insert(task).second;
         }
     }
@@ -322,17 +322,17 @@
 
 TEST_CASE("no interleaving of faults and resent jobs runs a task twice at once")
 {
-    auto const held = rc::check(
-        "one run of a task at a time",
-        [](unsigned seed)
-        {
-            fault_rates const rates{*rc::gen::inRange(0, 15),
-                                    *rc::gen::inRange(0, 15),
-                                    *rc::gen::inRange(0, 10)};
-            world tested(seed, rates);
-            tested.run(milliseconds(15'000));
-            RC_ASSERT(tested.starts() > 0U);
-            RC_ASSERT_FALSE(tested.ran_twice());
-        });
+    auto const held =
+        rc::check("one run of a task at a time",
+                  [](unsigned seed)
+                  {
+                      fault_rates const rates{*rc::gen::inRange(0, 15),
+                                              *rc::gen::inRange(0, 15),
+                                              *rc::gen::inRange(0, 10)};
+                      world tested(seed, rates);
+                      tested.run(milliseconds(15'000));
+                      RC_ASSERT(tested.starts() > 0U);
+                      RC_ASSERT_FALSE(tested.ran_twice());
+                  });
     CHECK(held);
 }
--- a/libs/dispatch/tests/peer_roster_test.cpp
+++ b/libs/dispatch/tests/peer_roster_test.cpp
@@ -67,8 +67,8 @@
 TEST_CASE("a follower claims at once when the dispatcher retires")
 {
     peer_roster tested(make_entry("10.0.0.1:1"), start);
-    auto sign = make_sign(make_entry("10.0.0.2:1", 500),
-                          make_claim(9, 3, true));
+    auto sign =
+        make_sign(make_entry("10.0.0.2:1", 500), make_claim(9, 3, true));
     sign.leaving = true;
     tested.heard(sign, settled);
     CHECK(tested.should_claim(cell, "dc", settled));
@@ -92,9 +92,9 @@
     constexpr std::int64_t later_second = 1'800'000'000;
     auto const first = tested.next_token(later_second);
     CHECK(tested.next_token(later_second + 1) > first);
-    tested.heard(make_sign(make_entry("10.0.0.2:1"),
-                           make_claim(first + (1LL << 40), 1)),
-                 settled);
+    tested.heard(
+        make_sign(make_entry("10.0.0.2:1"), make_claim(first + (1LL << 40), 1)),
+        settled);
     auto const higher = tested.next_token(later_second);
     CHECK(higher > first + (1LL << 40));
     constexpr std::int64_t exact_in_json = 1LL << 53;
--- a/libs/gateway/src/cell_host.cpp
+++ b/libs/gateway/src/cell_host.cpp
@@ -109,13 +109,12 @@
         loops_.erase(endpoint);
         records_.erase(endpoint);
     }
-    auto const next =
-        state_.roster.dispatcher_of(cell_, steady_clock::now());
+    auto const next = state_.roster.dispatcher_of(cell_, steady_clock::now());
     if (next && *next != state_.roster.self().address)
-        asio::co_spawn(executor_,
-                       send_release(shared_from_this(), *next,
-                                    std::move(released), false),
-                       asio::detached);
+        asio::co_spawn(
+            executor_,
+            send_release(shared_from_this(), *next, std::move(released), false),
+            asio::detached);
 }
 
 bool cell_host::is_handed_over(time_point now) const
@@ -184,10 +183,9 @@
     all_released_ = all_released_ || last;
     if (retiring_)
         return;
-    log_event(log_level::info, "endpoints_released",
-              {{"cell", cell_},
-               {"endpoints", endpoints.size()},
-               {"last", last}});
+    log_event(
+        log_level::info, "endpoints_released",
+        {{"cell", cell_}, {"endpoints", endpoints.size()}, {"last", last}});
     if (dispatcher_->outranked() > 0)
         dispatcher_->raise_token(state_.roster.next_token(unix_seconds()));
     add_endpoints(steady_clock::now());
--- a/libs/gateway/src/configuration_watch.cpp
+++ b/libs/gateway/src/configuration_watch.cpp
@@ -86,8 +86,8 @@
         bool history_gone = false;
         auto const wait = store_.reachable() ? watch_wait : milliseconds(0);
         auto const timeout = store_.reachable() ? watch_timeout : read_timeout;
-        auto request = platform::encode_watch(platform::configuration_table,
-                                              seen_, wait);
+        auto request =
+            platform::encode_watch(platform::configuration_table, seen_, wait);
         auto const rows =
             co_await store_.read(std::move(request), timeout, history_gone);
         if (rows)
@@ -119,9 +119,9 @@
         if (answer)
             apply(answer->fetch_text_answer.text, *holder);
         else
-            log_event(log_level::warning, "configuration_fetch_failed",
-                      {{"peer", *holder},
-                       {"detail", answer.error().error.detail}});
+            log_event(
+                log_level::warning, "configuration_fetch_failed",
+                {{"peer", *holder}, {"detail", answer.error().error.detail}});
     }
 }
 
--- a/libs/gateway/src/dispatch_host.cpp
+++ b/libs/gateway/src/dispatch_host.cpp
@@ -45,9 +45,9 @@
 {
     for (auto const& ended : state_.roster.take_ended(now))
     {
-        log_event(log_level::info, "peer_lost",
-                  {{"peer", ended.address},
-                   {"incarnation", ended.incarnation}});
+        log_event(
+            log_level::info, "peer_lost",
+            {{"peer", ended.address}, {"incarnation", ended.incarnation}});
         for (auto const& [name, cell] : cells_)
             cell->drop_origin(ended, now);
     }
@@ -198,8 +198,7 @@
         runs += cell->dispatcher().runs();
     }
     auto& metrics = state_.metrics;
-    metrics.live_peers.set(
-        static_cast<double>(state_.roster.alive_count(now)));
+    metrics.live_peers.set(static_cast<double>(state_.roster.alive_count(now)));
     metrics.endpoints.set(static_cast<double>(endpoints));
     metrics.waiting_tasks.set(static_cast<double>(waiting));
     metrics.runs.set(static_cast<double>(runs));
--- a/libs/gateway/src/dispatch_host.hpp
+++ b/libs/gateway/src/dispatch_host.hpp
@@ -41,6 +41,11 @@
         return executor_;
     }
 
+    std::map<std::string, std::shared_ptr<cell_host>> const& cells() const
+    {
+        return cells_;
+    }
+
     bool active() const
     {
         return !cells_.empty();
--- a/libs/gateway/src/endpoint_io.cpp
+++ b/libs/gateway/src/endpoint_io.cpp
@@ -154,9 +154,9 @@
         ip, port, std::move(request), steady_clock::now() + order_timeout);
     if (self->stopped_)
         co_return;
-    auto const answer =
-        result ? platform::decode_endpoint_answer(*result).answer
-               : answer_of(result.error());
+    auto const answer = result
+                            ? platform::decode_endpoint_answer(*result).answer
+                            : answer_of(result.error());
     self->dispatcher_->stop_answered(order, answer, steady_clock::now());
     self->flush();
 }
--- a/libs/gateway/src/endpoint_watch.cpp
+++ b/libs/gateway/src/endpoint_watch.cpp
@@ -123,8 +123,8 @@
         auto const interval = close || !read ? close_interval : loose_interval;
         auto const next = steady_clock::now() + interval;
         while (steady_clock::now() < next && dispatching_() == close)
-            co_await pause(std::min<duration>(role_interval,
-                                              next - steady_clock::now()));
+            co_await pause(
+                std::min<duration>(role_interval, next - steady_clock::now()));
     }
 }
 
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -4,6 +4,7 @@
 #include "endpoint_watch.hpp"
 #include "job_desk.hpp"
 #include "peer_exchange.hpp"
+#include "status_text.hpp"
 
 #include <core/log.hpp>
 #include <daemon/supervisor.hpp>
@@ -57,8 +58,7 @@
     return std::chrono::duration_cast<std::chrono::microseconds>(now).count();
 }
 
-dispatch::entry_identity
-identity_of(config::gateway_identity const& settings)
+dispatch::entry_identity identity_of(config::gateway_identity const& settings)
 {
     constexpr double thousandths = 1'000;
     return {config::to_string(settings.peer_address), unix_microseconds(),
@@ -105,9 +105,9 @@
 
 transport::http_response error_response(failure const& error)
 {
-    log_event(log_level::info, "call_malformed",
-              {{"code", static_cast<int>(error.code)},
-               {"detail", error.detail}});
+    log_event(
+        log_level::info, "call_malformed",
+        {{"code", static_cast<int>(error.code)}, {"detail", error.detail}});
     return plain_response(info_of(error.code).http_status, "{}");
 }
 
@@ -139,24 +139,27 @@
                        {
                            return exchange_.answer(std::move(call));
                        }),
-          caller_server_(executor_, {},
-                         [this](transport::http_request request)
-                         {
-                             return answer_caller(std::move(request));
-                         },
-                         error_response),
-          ready_server_(executor_, {},
-                        [this](transport::http_request)
-                        {
-                            return answer_ready();
-                        },
-                        error_response),
-          metrics_server_(executor_, {},
-                          [this](transport::http_request request)
-                          {
-                              return answer_metrics(std::move(request));
-                          },
-                          error_response),
+          caller_server_(
+              executor_, {},
+              [this](transport::http_request request)
+              {
+                  return answer_caller(std::move(request));
+              },
+              error_response),
+          ready_server_(
+              executor_, {},
+              [this](transport::http_request)
+              {
+                  return answer_ready();
+              },
+              error_response),
+          metrics_server_(
+              executor_, {},
+              [this](transport::http_request request)
+              {
+                  return answer_metrics(std::move(request));
+              },
+              error_response),
           loops_(executor_, "gateway")
     {
     }
@@ -285,8 +288,17 @@
     }
 
     asio::awaitable<std::optional<transport::http_response>>
-    answer_metrics(transport::http_request)
+    answer_metrics(transport::http_request request)
     {
+        if (transport::path_of(request.target) == "/status")
+        {
+            auto status = plain_response(
+                status_ok,
+                status_text(state_, host_, desk_.open_jobs(),
+                            store_.reachable(), steady_clock::now()));
+            status.fields.set("Content-Type", "application/json");
+            co_return status;
+        }
         auto response =
             plain_response(status_ok, state_.metrics.registry.render());
         response.fields.set("Content-Type", "text/plain; version=0.0.4");
@@ -296,8 +308,8 @@
     asio::awaitable<void> finish()
     {
         auto const begun = steady_clock::now();
-        auto const grace = std::chrono::duration_cast<duration>(
-            std::chrono::duration<double>(
+        auto const grace =
+            std::chrono::duration_cast<duration>(std::chrono::duration<double>(
                 state_.settings.bounds.grace_seconds));
         auto const limit =
             begun + std::max<duration>(grace - grace_margin, grace / 2);
--- a/libs/gateway/src/gateway_metrics.hpp
+++ b/libs/gateway/src/gateway_metrics.hpp
@@ -35,19 +35,19 @@
         "masticshift_stops_total", "Stop orders sent to endpoints");
     metrics::counter& lists = registry.get_counter(
         "masticshift_lists_total", "Run lists read from endpoints");
-    metrics::counter& unanswered = registry.get_counter(
-        "masticshift_unanswered_orders_total",
-        "Calls to endpoints that got no answer");
+    metrics::counter& unanswered =
+        registry.get_counter("masticshift_unanswered_orders_total",
+                             "Calls to endpoints that got no answer");
     metrics::counter& store_calls = registry.get_counter(
         "masticshift_store_calls_total", "Calls to the platform's store");
-    metrics::counter& store_failures = registry.get_counter(
-        "masticshift_store_failures_total",
-        "Calls to the platform's store that failed");
+    metrics::counter& store_failures =
+        registry.get_counter("masticshift_store_failures_total",
+                             "Calls to the platform's store that failed");
     metrics::counter& relayed_reads = registry.get_counter(
         "masticshift_relayed_reads_total",
         "Reads of the store that a peer has done for this entry");
-    metrics::gauge& live_peers = registry.get_gauge(
-        "masticshift_live_peers", "Entries heard of lately");
+    metrics::gauge& live_peers =
+        registry.get_gauge("masticshift_live_peers", "Entries heard of lately");
     metrics::gauge& endpoints = registry.get_gauge(
         "masticshift_endpoints", "Endpoints that this entry can place on");
     metrics::gauge& waiting_tasks = registry.get_gauge(
--- a/libs/gateway/src/job_desk.cpp
+++ b/libs/gateway/src/job_desk.cpp
@@ -44,10 +44,10 @@
     bool gone = false;
 };
 
-transport::http_response
-job_desk::reject(transport::http_response response,
-                 platform::caller_request const& call, result_code reason,
-                 std::string const& detail)
+transport::http_response job_desk::reject(transport::http_response response,
+                                          platform::caller_request const& call,
+                                          result_code reason,
+                                          std::string const& detail)
 {
     state_.metrics.rejected_calls.add();
     log_event(log_level::info, "call_rejected",
@@ -152,9 +152,8 @@
 bool job_desk::choose_cell(submission& job)
 {
     auto const cells = state_.roster.dispatchers(steady_clock::now());
-    auto const choice =
-        dispatch::choose_cell(cells, state_.roster.self().data_centre, job.job,
-                              job.busy);
+    auto const choice = dispatch::choose_cell(
+        cells, state_.roster.self().data_centre, job.job, job.busy);
     if (!choice)
         return false;
     job.dispatcher = choice->address;
@@ -199,9 +198,9 @@
     auto content = to_wire(job->job, self);
     content.cell = job->cell;
     auto message = peer_link::make_message(std::move(content));
-    auto const result = co_await call_peer(
-        peers_, job->dispatcher, std::move(message),
-        job->accepted + job->job.patience + answer_margin);
+    auto const result =
+        co_await call_peer(peers_, job->dispatcher, std::move(message),
+                           job->accepted + job->job.patience + answer_margin);
     if (result)
         co_return from_wire(result->dispatch_answer);
     if (!result.error().sent)
--- a/libs/gateway/src/peer_exchange.cpp
+++ b/libs/gateway/src/peer_exchange.cpp
@@ -43,11 +43,10 @@
                                                std::string peer)
 {
     auto const now = steady_clock::now();
-    auto message = peer_link::make_message(
-        to_wire(self.state_.roster.own_sign(now)));
-    auto const result = co_await call_peer(self.peers_, peer,
-                                           std::move(message),
-                                           now + sign_timeout);
+    auto message =
+        peer_link::make_message(to_wire(self.state_.roster.own_sign(now)));
+    auto const result = co_await call_peer(
+        self.peers_, peer, std::move(message), now + sign_timeout);
     if (result)
     {
         self.refusals_.erase(peer);
@@ -72,8 +71,8 @@
 {
     bool history_gone = false;
     auto request = platform::encode_read(entry_table, {});
-    auto const rows = co_await store_.read(std::move(request), store_timeout,
-                                           history_gone);
+    auto const rows =
+        co_await store_.read(std::move(request), store_timeout, history_gone);
     if (!rows)
         co_return false;
     for (auto const& row : rows->rows)
@@ -107,8 +106,7 @@
 asio::awaitable<void> peer_exchange::unregister_entry()
 {
     auto request = platform::encode_remove(entry_table, row_key());
-    auto const result =
-        co_await store_.call(std::move(request), store_timeout);
+    auto const result = co_await store_.call(std::move(request), store_timeout);
     if (!result)
         log_event(log_level::warning, "entry_not_unregistered",
                   {{"detail", result.error().error.detail}});
@@ -135,8 +133,7 @@
                        from_wire(call.withdraw_call.origin));
         break;
     case release_call:
-        host_.take_released(call.release_call.cell,
-                            call.release_call.endpoints,
+        host_.take_released(call.release_call.cell, call.release_call.endpoints,
                             call.release_call.last);
         break;
     case speeds_call:
@@ -185,8 +182,8 @@
 {
     transport::http_request request;
     request.target = std::move(call.target);
-    auto const result = co_await store_.call(std::move(request),
-                                             milliseconds(call.timeout_ms));
+    auto const result =
+        co_await store_.call(std::move(request), milliseconds(call.timeout_ms));
     wire::relay_read_reply reply;
     reply.status = 0;
     if (result)
--- a/libs/gateway/src/peer_wire.cpp
+++ b/libs/gateway/src/peer_wire.cpp
@@ -159,10 +159,10 @@
 dispatch::job_result from_wire(wire::dispatch_reply const& reply)
 {
     dispatch::job_result made;
-    constexpr auto last_end = static_cast<std::int32_t>(
-        dispatch::job_end::unknown);
-    constexpr auto last_reason = static_cast<std::int32_t>(
-        dispatch::end_reason::busy_cell);
+    constexpr auto last_end =
+        static_cast<std::int32_t>(dispatch::job_end::unknown);
+    constexpr auto last_reason =
+        static_cast<std::int32_t>(dispatch::end_reason::busy_cell);
     if (reply.outcome >= 0 && reply.outcome <= last_end)
         made.end = static_cast<dispatch::job_end>(reply.outcome);
     if (reply.reason >= 0 && reply.reason <= last_reason)
--- /dev/null
+++ b/libs/gateway/src/status_text.cpp
@@ -0,0 +1,69 @@
+#include "status_text.hpp"
+
+#include <boost/json.hpp>
+
+namespace masticshift::gateway
+{
+
+namespace
+{
+
+namespace json = boost::json;
+
+json::array dispatcher_rows(shared_state const& state, time_point now)
+{
+    json::array rows;
+    for (auto const& each : state.roster.dispatchers(now))
+        rows.push_back({{"cell", each.claim.cell},
+                        {"entry", each.address},
+                        {"token", each.claim.token},
+                        {"endpoints", each.claim.endpoints},
+                        {"free_processor", each.claim.free_processor}});
+    return rows;
+}
+
+json::array endpoint_rows(cell_host const& cell, time_point now)
+{
+    json::array rows;
+    for (auto const& each : cell.dispatcher().status(now))
+        rows.push_back({{"endpoint", each.id},
+                        {"link", each.link},
+                        {"trust", each.trust},
+                        {"runs", each.runs},
+                        {"free_processor", each.free.processor},
+                        {"speed", each.speed}});
+    return rows;
+}
+
+json::object cell_row(cell_host const& cell, time_point now)
+{
+    return {{"retiring", cell.retiring()},
+            {"jobs", cell.dispatcher().jobs()},
+            {"runs", cell.dispatcher().runs()},
+            {"waiting_tasks", cell.dispatcher().waiting_tasks()},
+            {"endpoints", endpoint_rows(cell, now)}};
+}
+
+} // namespace
+
+std::string status_text(shared_state const& state, dispatch_host const& host,
+                        std::size_t open_jobs, bool store_reachable,
+                        time_point now)
+{
+    json::object cells;
+    for (auto const& [name, cell] : host.cells())
+        cells[name] = cell_row(*cell, now);
+    json::object text;
+    text["entry"] = state.roster.self().address;
+    text["incarnation"] = state.roster.self().incarnation;
+    text["leaving"] = state.leaving;
+    text["configuration"] = state.configuration_version;
+    text["store_reachable"] = store_reachable;
+    text["live_peers"] = state.roster.alive_count(now);
+    text["open_jobs"] = open_jobs;
+    text["dispatchers"] = dispatcher_rows(state, now);
+    text["cells"] = std::move(cells);
+    return json::serialize(text);
+}
+
+} // namespace masticshift::gateway
--- /dev/null
+++ b/libs/gateway/src/status_text.hpp
@@ -0,0 +1,19 @@
+#ifndef MASTICSHIFT_GATEWAY_STATUS_TEXT_HPP
+#define MASTICSHIFT_GATEWAY_STATUS_TEXT_HPP
+
+#include "dispatch_host.hpp"
+
+#include <string>
+
+namespace masticshift::gateway
+{
+
+/// The state of an entry for operators, as JSON: its configuration, the
+/// dispatchers it knows, and the endpoints of the cells that it dispatches.
+std::string status_text(shared_state const& state, dispatch_host const& host,
+                        std::size_t open_jobs, bool store_reachable,
+                        time_point now);
+
+} // namespace masticshift::gateway
+
+#endif
--- a/libs/gateway/src/store_reader.cpp
+++ b/libs/gateway/src/store_reader.cpp
@@ -64,9 +64,8 @@
     content.target = std::move(target);
     content.timeout_ms = static_cast<std::int32_t>(timeout.count());
     auto message = peer_link::make_message(std::move(content));
-    auto const result =
-        co_await call_peer(peers_, *peer, std::move(message),
-                           steady_clock::now() + 2 * timeout);
+    auto const result = co_await call_peer(peers_, *peer, std::move(message),
+                                           steady_clock::now() + 2 * timeout);
     if (!result)
         co_return result.error().error;
     auto const& reply = result->relay_answer;
--- a/libs/gateway/tests/deployment.hpp
+++ b/libs/gateway/tests/deployment.hpp
@@ -2,7 +2,7 @@
 #define MASTICSHIFT_GATEWAY_DEPLOYMENT_HPP
 
 #include <gateway/gateway.hpp>
-#include <test_support/platform_double.hpp>
+#include <test_support/gateway_standin.hpp>
 #include <test_support/reserved_port.hpp>
 #include <transport/http_client.hpp>
 
@@ -35,7 +35,7 @@
         gateways_.clear();
     }
 
-    test_support::platform_double& platform()
+    test_support::gateway_standin& platform()
     {
         return platform_;
     }
@@ -149,8 +149,7 @@
                        R"(,"steps":[{"count":)" + std::to_string(tasks) +
                        R"(,"cpu":6800,"mem_mb":64,"estimate_ms":40}]})";
         auto const waiting = std::make_shared<pending>();
-        auto const address =
-            members_[number].settings.gateway.caller_address;
+        auto const address = members_[number].settings.gateway.caller_address;
         boost::asio::co_spawn(context_,
                               send(client_, address, request, waiting),
                               boost::asio::detached);
@@ -165,15 +164,16 @@
         bool stopped = false;
     };
 
-    static boost::asio::awaitable<void>
-    send(transport::http_client& client, config::socket_address address,
-         transport::http_request request, std::shared_ptr<pending> waiting)
+    static boost::asio::awaitable<void> send(transport::http_client& client,
+                                             config::socket_address address,
+                                             transport::http_request request,
+                                             std::shared_ptr<pending> waiting)
     {
         // The client sets the host of a call to the address; gateways find
         // the queue by the one that the caller names.
-        auto const result = co_await client.call(
-            address.ip, address.port, std::move(request),
-            steady_clock::now() + milliseconds(4'000));
+        auto const result =
+            co_await client.call(address.ip, address.port, std::move(request),
+                                 steady_clock::now() + milliseconds(4'000));
         waiting->status = result ? result->status : 1;
         if (result)
         {
@@ -199,7 +199,7 @@
     }
 
     boost::asio::io_context context_{1};
-    test_support::platform_double platform_;
+    test_support::gateway_standin platform_;
     transport::http_client client_;
     std::vector<member> members_;
     std::vector<std::unique_ptr<gateway>> gateways_;
--- a/libs/gateway/tests/gateway_test.cpp
+++ b/libs/gateway/tests/gateway_test.cpp
@@ -40,13 +40,13 @@
 
 long completed(std::vector<std::shared_ptr<deployment::pending>> const& jobs)
 {
-    return std::ranges::count_if(
-        jobs,
-        [](auto const& job)
-        {
-            return job->status == 200 &&
-                   job->body == R"({"state":"completed"})";
-        });
+    return std::ranges::count_if(jobs,
+                                 [](auto const& job)
+                                 {
+                                     return job->status == 200 &&
+                                            job->body ==
+                                                R"({"state":"completed"})";
+                                 });
 }
 
 } // namespace
--- a/libs/peer_link/src/message_kind.cpp
+++ b/libs/peer_link/src/message_kind.cpp
@@ -16,7 +16,10 @@
     "forward_answer", "borrow_call",      "borrow_answer",
     "give_back_call", "fetch_text_call",  "fetch_text_answer",
     "handover_call",  "handover_answer",  "acknowledgement_answer",
-    "refusal_answer", "probe_call",       "pulse_call", "pulse_answer", "dispatch_call", "dispatch_answer", "withdraw_call", "release_call", "speeds_call", "relay_call", "relay_answer"};
+    "refusal_answer", "probe_call",       "pulse_call",
+    "pulse_answer",   "dispatch_call",    "dispatch_answer",
+    "withdraw_call",  "release_call",     "speeds_call",
+    "relay_call",     "relay_answer"};
 
 /// Whether each member is set, in the order of `message_kind`.
 std::array<bool, message_kind_count> members_set(wire::message const& content)
@@ -27,7 +30,10 @@
         set.forward_answer, set.borrow_call,      set.borrow_answer,
         set.give_back_call, set.fetch_text_call,  set.fetch_text_answer,
         set.handover_call,  set.handover_answer,  set.acknowledgement_answer,
-        set.refusal_answer, set.probe_call,   set.pulse_call, set.pulse_answer, set.dispatch_call, set.dispatch_answer, set.withdraw_call, set.release_call, set.speeds_call, set.relay_call, set.relay_answer};
+        set.refusal_answer, set.probe_call,       set.pulse_call,
+        set.pulse_answer,   set.dispatch_call,    set.dispatch_answer,
+        set.withdraw_call,  set.release_call,     set.speeds_call,
+        set.relay_call,     set.relay_answer};
 }
 
 } // namespace
--- a/libs/test_support/include/test_support/blocking_client.hpp
+++ b/libs/test_support/include/test_support/blocking_client.hpp
@@ -32,7 +32,7 @@
 
     /// Applies a configuration as the command line does.
     store::apply_answer apply(config::socket_address const& platform,
-                                 store::configuration_change change);
+                              store::configuration_change change);
 
 private:
     network_thread& network_;
--- a/libs/test_support/include/test_support/endpoint_model.hpp
+++ b/libs/test_support/include/test_support/endpoint_model.hpp
@@ -16,8 +16,7 @@
 class endpoint_model
 {
 public:
-    explicit endpoint_model(endpoint_record record)
-        : record_(std::move(record))
+    explicit endpoint_model(endpoint_record record) : record_(std::move(record))
     {
     }
 
--- a/libs/test_support/include/test_support/platform_double.hpp
+++ b/libs/test_support/include/test_support/gateway_standin.hpp
@@ -1,5 +1,5 @@
-#ifndef MASTICSHIFT_TEST_SUPPORT_PLATFORM_DOUBLE_HPP
-#define MASTICSHIFT_TEST_SUPPORT_PLATFORM_DOUBLE_HPP
+#ifndef MASTICSHIFT_TEST_SUPPORT_GATEWAY_STANDIN_HPP
+#define MASTICSHIFT_TEST_SUPPORT_GATEWAY_STANDIN_HPP
 
 #include <config/daemon_settings.hpp>
 #include <core/outcome.hpp>
@@ -39,7 +39,7 @@
     std::set<std::string> silent_endpoints;
 };
 
-/// What the double has seen that must not happen.
+/// What the stand-in has seen that must not happen.
 struct platform_findings
 {
     std::size_t starts = 0;
@@ -53,15 +53,15 @@
 /// The platform's store and endpoints, as far as a gateway uses them, over
 /// HTTP on loopback. Written from the published protocol, without the code of
 /// the adapter.
-class platform_double
+class gateway_standin
 {
 public:
-    explicit platform_double(boost::asio::any_io_executor executor,
+    explicit gateway_standin(boost::asio::any_io_executor executor,
                              unsigned seed = 1);
-    ~platform_double();
+    ~gateway_standin();
 
-    platform_double(platform_double const&) = delete;
-    platform_double& operator=(platform_double const&) = delete;
+    gateway_standin(gateway_standin const&) = delete;
+    gateway_standin& operator=(gateway_standin const&) = delete;
 
     /// Starts the store on a free port of 127.0.0.1, or on the given one.
     outcome<void> start_store(std::uint16_t port = 0);
--- a/libs/test_support/src/blocking_client.cpp
+++ b/libs/test_support/src/blocking_client.cpp
@@ -20,8 +20,7 @@
 apply_at(transport::http_client& client, config::socket_address address,
          store::configuration_change change)
 {
-    store::http_platform platform(client, std::move(address),
-                                     platform_timeout);
+    store::http_platform platform(client, std::move(address), platform_timeout);
     store::configuration_store configurations(platform, store::timer_wait{});
     co_return co_await configurations.apply(std::move(change), std::nullopt);
 }
--- a/libs/test_support/src/platform_double.cpp
+++ b/libs/test_support/src/gateway_standin.cpp
@@ -1,4 +1,4 @@
-#include <test_support/platform_double.hpp>
+#include <test_support/gateway_standin.hpp>
 
 #include <boost/asio.hpp>
 #include <boost/json.hpp>
@@ -31,10 +31,10 @@
 std::string encode_base64(std::string const& bytes)
 {
     std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
-    auto const size = EVP_EncodeBlock(
-        reinterpret_cast<unsigned char*>(text.data()),
-        reinterpret_cast<unsigned char const*>(bytes.data()),
-        static_cast<int>(bytes.size()));
+    auto const size =
+        EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()),
+                        reinterpret_cast<unsigned char const*>(bytes.data()),
+                        static_cast<int>(bytes.size()));
     text.resize(static_cast<std::size_t>(size));
     return text;
 }
@@ -73,7 +73,7 @@
 
 } // namespace
 
-class platform_double::impl : public std::enable_shared_from_this<impl>
+class gateway_standin::impl : public std::enable_shared_from_this<impl>
 {
 public:
     struct endpoint
@@ -131,8 +131,7 @@
         auto const& record = each.model.record();
         json::object row;
         row["service"] = record.service;
-        row["address"] =
-            "127.0.0.1:" + std::to_string(each.server->port());
+        row["address"] = "127.0.0.1:" + std::to_string(each.server->port());
         row["zone"] = record.data_centre;
         row["version"] = "v1";
         row["slots"] = record.slots;
@@ -141,10 +140,9 @@
         row["seq"] = ++each.sequence;
         row["born"] = record.started_ms;
         row["machine"] = record.vm;
-        row["capacity"] =
-            json::object{{"cpu", record.capacity.processor},
-                         {"mem_mb", record.capacity.memory_mb},
-                         {"gpu", record.capacity.accelerators}};
+        row["capacity"] = json::object{{"cpu", record.capacity.processor},
+                                       {"mem_mb", record.capacity.memory_mb},
+                                       {"gpu", record.capacity.accelerators}};
         row["labels"] = json::array{"a", "rack-1"};
         write("servers", id, json::serialize(row));
     }
@@ -192,8 +190,8 @@
         }
     }
 
-    static asio::awaitable<answer>
-    answer_store(std::shared_ptr<impl> self, transport::http_request request)
+    static asio::awaitable<answer> answer_store(std::shared_ptr<impl> self,
+                                                transport::http_request request)
     {
         while (self->faults.store_silent)
             co_await pause(heartbeat);
@@ -209,10 +207,10 @@
         if (path == "/rows-get")
             co_return self->read(
                 table, transport::query_parameter(request.target, "from"));
-        auto const after = std::stoll(
-            transport::query_parameter(request.target, "after"));
-        auto const wait = milliseconds(std::stoll(
-            transport::query_parameter(request.target, "wait_ms")));
+        auto const after =
+            std::stoll(transport::query_parameter(request.target, "after"));
+        auto const wait = milliseconds(
+            std::stoll(transport::query_parameter(request.target, "wait_ms")));
         constexpr unsigned gone = 410;
         if (std::exchange(self->faults.history_gone, false))
             co_return make_answer(gone, {});
@@ -234,8 +232,8 @@
         for (auto const& each : body.at("remove").as_array())
             rows_.remove(std::string(each.at("table").as_string()),
                          std::string(each.at("key").as_string()));
-        return make_answer(ok, {{"row_version", rows_.version()},
-                                {"now_ms", clock_ms()}});
+        return make_answer(
+            ok, {{"row_version", rows_.version()}, {"now_ms", clock_ms()}});
     }
 
     answer read(std::string const& table, std::string const& from)
@@ -322,8 +320,8 @@
     static std::size_t room_of(endpoint const& of)
     {
         constexpr std::int64_t task_processor = 6'800;
-        return static_cast<std::size_t>(
-            of.model.record().capacity.processor / task_processor);
+        return static_cast<std::size_t>(of.model.record().capacity.processor /
+                                        task_processor);
     }
 
     void note_start(std::string const& id, std::string const& task,
@@ -363,8 +361,7 @@
     }
 
     static asio::awaitable<answer> list_runs(std::shared_ptr<impl> self,
-                                             std::string id,
-                                             json::object body)
+                                             std::string id, json::object body)
     {
         dispatch::list_order order;
         order.token = number(body, "fencing_token");
@@ -411,24 +408,24 @@
     std::map<std::string, std::unique_ptr<endpoint>> endpoints_;
 };
 
-platform_double::platform_double(asio::any_io_executor executor, unsigned seed)
+gateway_standin::gateway_standin(asio::any_io_executor executor, unsigned seed)
     : impl_(std::make_shared<impl>(std::move(executor), seed))
 {
 }
 
-platform_double::~platform_double() = default;
+gateway_standin::~gateway_standin() = default;
 
-outcome<void> platform_double::start_store(std::uint16_t port)
+outcome<void> gateway_standin::start_store(std::uint16_t port)
 {
     return impl_->start_store(port);
 }
 
-std::uint16_t platform_double::store_port() const
+std::uint16_t gateway_standin::store_port() const
 {
     return impl_->store_port();
 }
 
-outcome<void> platform_double::add_endpoint(std::string const& id,
+outcome<void> gateway_standin::add_endpoint(std::string const& id,
                                             std::string const& data_centre,
                                             double speed)
 {
@@ -443,19 +440,19 @@
     return impl_->add_endpoint(std::move(record), speed);
 }
 
-void platform_double::drain_endpoint(std::string const& id)
+void gateway_standin::drain_endpoint(std::string const& id)
 {
     impl_->at(id).draining = true;
     impl_->register_endpoint(id);
 }
 
-void platform_double::restart_endpoint(std::string const& id)
+void gateway_standin::restart_endpoint(std::string const& id)
 {
     impl_->at(id).model.restart(clock_ms() + 1);
     impl_->register_endpoint(id);
 }
 
-void platform_double::configure(std::int64_t version, milliseconds run_time)
+void gateway_standin::configure(std::int64_t version, milliseconds run_time)
 {
     impl_->run_time = run_time;
     json::object queue;
@@ -473,12 +470,12 @@
     impl_->write("op", "config", json::serialize(body));
 }
 
-platform_faults& platform_double::faults()
+platform_faults& gateway_standin::faults()
 {
     return impl_->faults;
 }
 
-platform_findings const& platform_double::findings() const
+platform_findings const& gateway_standin::findings() const
 {
     return impl_->findings;
 }
--- a/tools/gateway_soak/src/main.cpp
+++ b/tools/gateway_soak/src/main.cpp
@@ -4,12 +4,14 @@
 
 #include <cstdio>
 #include <filesystem>
+#include <iterator>
 
 DEFINE_uint32(seed, 1, "the first seed");
 DEFINE_uint32(seeds, 1, "number of runs, one seed each");
 DEFINE_uint32(seconds, 15, "length of a run's faults");
 DEFINE_uint32(gateways, 4, "gateway processes");
 DEFINE_uint32(endpoints, 8, "endpoints of the platform's double");
+DEFINE_bool(regressions, false, "run the seeds that have failed before");
 DEFINE_bool(keep, false, "keep the logs of all runs");
 DEFINE_string(program, "", "masticshiftd; by default the one beside this");
 
@@ -18,6 +20,19 @@
 
 using namespace masticshift;
 
+/// A run that has once found a fault.
+struct regression
+{
+    unsigned seed = 0;
+    unsigned seconds = 0;
+    char const* cause;
+};
+
+constexpr regression regressions[] = {
+    {105, 8, "an order reached the new life of an endpoint"},
+    {111, 8, "an order reached the new life of an endpoint"},
+};
+
 bool run(unsigned seed)
 {
     gateway_soak::soak_options options;
@@ -38,6 +53,32 @@
     return result.findings.empty();
 }
 
+int finish(unsigned passed, unsigned runs)
+{
+    std::printf("%u passed, %u failed\n", passed, runs - passed);
+    return passed == runs ? 0 : 1;
+}
+
+int run_seeds()
+{
+    unsigned passed = 0;
+    for (unsigned i = 0; i < FLAGS_seeds; ++i)
+        passed += run(FLAGS_seed + i) ? 1 : 0;
+    return finish(passed, FLAGS_seeds);
+}
+
+int run_regressions()
+{
+    unsigned passed = 0;
+    for (auto const& each : regressions)
+    {
+        std::printf("seed %u: %s\n", each.seed, each.cause);
+        FLAGS_seconds = each.seconds;
+        passed += run(each.seed) ? 1 : 0;
+    }
+    return finish(passed, static_cast<unsigned>(std::size(regressions)));
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -45,13 +86,9 @@
     gflags::SetUsageMessage("runs real gateways under random faults");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     if (FLAGS_program.empty())
-        FLAGS_program = (std::filesystem::canonical("/proc/self/exe")
-                             .parent_path() /
-                         "masticshiftd")
-                            .string();
-    unsigned passed = 0;
-    for (unsigned i = 0; i < FLAGS_seeds; ++i)
-        passed += run(FLAGS_seed + i) ? 1 : 0;
-    std::printf("%u passed, %u failed\n", passed, FLAGS_seeds - passed);
-    return passed == FLAGS_seeds ? 0 : 1;
+        FLAGS_program =
+            (std::filesystem::canonical("/proc/self/exe").parent_path() /
+             "masticshiftd")
+                .string();
+    return FLAGS_regressions ? run_regressions() : run_seeds();
 }
--- a/tools/gateway_soak/src/soak_callers.cpp
+++ b/tools/gateway_soak/src/soak_callers.cpp
@@ -106,10 +106,10 @@
         std::lock_guard const lock(mutex_);
         ++report_.sent;
     }
-    asio::co_spawn(network_.executor(),
-                   job::run(*this, id.data(), tasks, std::move(to),
-                            std::move(again)),
-                   asio::detached);
+    asio::co_spawn(
+        network_.executor(),
+        job::run(*this, id.data(), tasks, std::move(to), std::move(again)),
+        asio::detached);
 }
 
 void soak_callers::note(std::string const& id,
--- a/tools/gateway_soak/src/soak_fault.cpp
+++ b/tools/gateway_soak/src/soak_fault.cpp
@@ -10,12 +10,12 @@
 {
 
 constexpr std::array<std::string_view, fault_kinds> names{
-    "kill_gateway",      "pause_gateway",     "stop_gateway",
-    "hang_up_gateway",   "cut_peer_link",     "silence_peer_link",
-    "delay_peer_link",   "cut_store_link",    "store_down",
-    "store_silent",      "store_slow",        "history_gone",
-    "lost_orders",       "late_orders",       "failed_runs",
-    "silent_endpoint",   "restarted_endpoint", "draining_endpoint",
+    "kill_gateway",     "pause_gateway",      "stop_gateway",
+    "hang_up_gateway",  "cut_peer_link",      "silence_peer_link",
+    "delay_peer_link",  "cut_store_link",     "store_down",
+    "store_silent",     "store_slow",         "history_gone",
+    "lost_orders",      "late_orders",        "failed_runs",
+    "silent_endpoint",  "restarted_endpoint", "draining_endpoint",
     "new_configuration"};
 
 /// Mean pause between two faults.
@@ -42,8 +42,8 @@
     while (at < length)
     {
         planned_fault fault;
-        fault.kind = static_cast<fault_kind>(
-            pick(0, static_cast<int>(fault_kinds) - 1));
+        fault.kind =
+            static_cast<fault_kind>(pick(0, static_cast<int>(fault_kinds) - 1));
         fault.at = at;
         fault.length = milliseconds(pick(shortest_ms, longest_ms));
         fault.target = static_cast<std::size_t>(pick(0, 1'000));
--- a/tools/gateway_soak/src/soak_run.cpp
+++ b/tools/gateway_soak/src/soak_run.cpp
@@ -4,7 +4,7 @@
 #include "soak_callers.hpp"
 #include "soak_fault.hpp"
 
-#include <test_support/platform_double.hpp>
+#include <test_support/gateway_standin.hpp>
 
 #include <algorithm>
 #include <csignal>
@@ -47,7 +47,7 @@
     explicit soak(soak_options const& options)
         : options_(options),
           random_(options.seed),
-          platform_(std::make_unique<test_support::platform_double>(
+          platform_(std::make_unique<test_support::gateway_standin>(
               network_.executor(), options.seed)),
           callers_(network_)
     {
@@ -222,16 +222,15 @@
 
     void apply_to_platform(planned_fault const& fault, bool begins)
     {
-        auto const endpoint =
-            endpoint_name(fault.target % options_.endpoints);
+        auto const endpoint = endpoint_name(fault.target % options_.endpoints);
         change_platform(
-            [&](test_support::platform_double& platform)
+            [&](test_support::gateway_standin& platform)
             {
                 apply_to(platform, fault.kind, endpoint, begins);
             });
     }
 
-    void apply_to(test_support::platform_double& platform, fault_kind kind,
+    void apply_to(test_support::gateway_standin& platform, fault_kind kind,
                   std::string const& endpoint, bool begins)
     {
         constexpr int some_percent = 15;
@@ -332,7 +331,7 @@
         auto const callers = callers_.report();
         test_support::platform_findings seen;
         change_platform(
-            [&](test_support::platform_double& platform)
+            [&](test_support::gateway_standin& platform)
             {
                 seen = platform.findings();
             });
@@ -365,7 +364,7 @@
     std::mt19937 random_;
     test_support::scratch_folder folder_;
     test_support::network_thread network_;
-    std::unique_ptr<test_support::platform_double> platform_;
+    std::unique_ptr<test_support::gateway_standin> platform_;
     config::socket_address store_;
     soak_callers callers_;
     std::vector<std::unique_ptr<gateway_child>> gateways_;
--- a/tools/masticshift/src/platform_access.hpp
+++ b/tools/masticshift/src/platform_access.hpp
@@ -17,8 +17,8 @@
 class platform_access
 {
 public:
-    using store_type = store::configuration_store<store::http_platform,
-                                                     store::timer_wait>;
+    using store_type =
+        store::configuration_store<store::http_platform, store::timer_wait>;
 
     platform_access(session& calls, options const& given)
         : platform_(calls.client(), *given.platform, platform_timeout),
--- a/tools/platform_standin/src/fault_control.cpp
+++ b/tools/platform_standin/src/fault_control.cpp
@@ -79,8 +79,7 @@
 bool is_vm_list(json::value const& vms)
 {
     json::object const list{{"as_of_us", 0}, {"vms", vms}};
-    return masticshift::store::parse_vm_list(json::serialize(list))
-        .has_value();
+    return masticshift::store::parse_vm_list(json::serialize(list)).has_value();
 }
 
 bool read_member(std::string_view name, json::value const& value,
--- a/tools/platform_standin/src/platform_service.cpp
+++ b/tools/platform_standin/src/platform_service.cpp
@@ -70,8 +70,7 @@
 {
     for (auto const& write : done.writes)
     {
-        if (write.key == masticshift::store::configuration_key() &&
-            write.value)
+        if (write.key == masticshift::store::configuration_key() && write.value)
         {
             auto record = masticshift::store::parse_record(*write.value);
             if (record)
--- a/tools/platform_standin/src/table_store.hpp
+++ b/tools/platform_standin/src/table_store.hpp
@@ -27,8 +27,7 @@
 class table_store
 {
 public:
-    std::optional<store::table_entry>
-    read(store::table_key const& key) const;
+    std::optional<store::table_entry> read(store::table_key const& key) const;
 
     commit_result commit(store::transaction const& request);
 
--- a/tools/platform_standin/tests/platform_service_test.cpp
+++ b/tools/platform_standin/tests/platform_service_test.cpp
@@ -96,8 +96,7 @@
 
     store::apply_answer apply(std::string const& change_id)
     {
-        store::configuration_store<store::http_platform,
-                                      store::timer_wait>
+        store::configuration_store<store::http_platform, store::timer_wait>
             store(*platform, {}, {3, milliseconds(1), milliseconds(1)});
         return run(store.apply({change_id, "text"}, std::nullopt));
     }
