--- a/libs/dispatch/include/dispatch/endpoint_calls.hpp
+++ b/libs/dispatch/include/dispatch/endpoint_calls.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace masticshift::dispatch
@@ -17,7 +18,13 @@
     std::string task;
     std::int64_t number = 0;
 
-    friend auto operator<=>(run_key const&, run_key const&) = default;
+    friend bool operator==(run_key const&, run_key const&) = default;
+
+    friend bool operator<(run_key const& left, run_key const& right)
+    {
+        return std::tie(left.task, left.number) <
+               std::tie(right.task, right.number);
+    }
 };
 
 /// Asks an endpoint to start a run.
--- a/libs/dispatch/src/dispatcher.cpp
+++ b/libs/dispatch/src/dispatcher.cpp
@@ -118,8 +118,8 @@
             {"foreign_run", {}, key.task, endpoint, "stopped", 0});
         stop_run(*account, key, now);
     }
-    for (auto& over : changes.over)
-        run_ended(*account, std::move(over), now);
+    for (auto const& over : changes.over)
+        run_ended(*account, over, now);
     place(now);
 }
 
@@ -143,8 +143,8 @@
         progress_checked_ = now;
     for (auto const& [id, account] : accounts_)
     {
-        for (auto& over : account->take_lapsed(now))
-            run_ended(*account, std::move(over), now);
+        for (auto const& over : account->take_lapsed(now))
+            run_ended(*account, over, now);
         repeat_stops(*account, now);
         if (progress_due)
             check_progress(*account, now);
--- a/libs/dispatch/src/dispatcher_impl.hpp
+++ b/libs/dispatch/src/dispatcher_impl.hpp
@@ -52,18 +52,9 @@
     std::vector<endpoint_status> status(time_point now) const;
     std::size_t runs() const;
 
-    std::int64_t token_ = 0;
-    speed_book speeds_;
-    account_map accounts_;
-    wait_queue queue_;
-    std::unordered_map<std::string, job_ptr> jobs_;
-    std::vector<start_order> starts_;
-    std::vector<stop_order> stops_;
-    std::vector<finished_job> finished_;
-    std::vector<decision> decisions_;
-    std::set<std::string> wakened_;
-
 private:
+    friend class dispatcher;
+
     endpoint_account* find(std::string const& endpoint);
     duration chain_time(job_spec const& spec) const;
     std::optional<job_result> refusal_of(job_state const& job, time_point now);
@@ -88,7 +79,8 @@
     void stop_run(endpoint_account& account, run_key const& key,
                   time_point now);
     void repeat_stops(endpoint_account& account, time_point now);
-    void run_ended(endpoint_account& account, run_over over, time_point now);
+    void run_ended(endpoint_account& account, run_over const& over,
+                   time_point now);
     void task_done(endpoint_account& account, run_over const& over,
                    time_point now);
     void task_failed(endpoint_account& account, run_over const& over,
@@ -103,6 +95,16 @@
               std::string const& task, std::string const& endpoint,
               std::string_view outcome, double value);
 
+    std::int64_t token_ = 0;
+    speed_book speeds_;
+    account_map accounts_;
+    wait_queue queue_;
+    std::unordered_map<std::string, job_ptr> jobs_;
+    std::vector<start_order> starts_;
+    std::vector<stop_order> stops_;
+    std::vector<finished_job> finished_;
+    std::vector<decision> decisions_;
+    std::set<std::string> wakened_;
     dispatch_limits limits_;
     std::uint64_t next_job_ = 1;
     /// Runs by task that may be at work, also those of ended jobs.
--- a/libs/dispatch/src/dispatcher_jobs.cpp
+++ b/libs/dispatch/src/dispatcher_jobs.cpp
@@ -143,7 +143,7 @@
     duration wait{0};
     for (auto const& [key, ahead] : queue_.jobs())
     {
-        if (key >= place || wait > 2 * latest)
+        if (!(key < place) || wait > 2 * latest)
             break;
         auto const& step = ahead->spec.steps.front();
         auto const work =
--- a/libs/dispatch/src/dispatcher_placement.cpp
+++ b/libs/dispatch/src/dispatcher_placement.cpp
@@ -167,8 +167,8 @@
         stop_run(account, key, now);
 }
 
-void dispatcher::impl::run_ended(endpoint_account& account, run_over over,
-                                 time_point now)
+void dispatcher::impl::run_ended(endpoint_account& account,
+                                 run_over const& over, time_point now)
 {
     auto const live = live_runs_.find(over.key.task);
     if (live != live_runs_.end() && --live->second == 0)
--- a/libs/dispatch/src/peer_roster.cpp
+++ b/libs/dispatch/src/peer_roster.cpp
@@ -229,6 +229,7 @@
         consider(self_, claim);
     for_each_claim(now, consider);
     std::vector<cell_dispatcher> all;
+    all.reserve(best.size());
     for (auto& [cell, dispatcher] : best)
         all.push_back(std::move(dispatcher));
     return all;
--- a/libs/dispatch/src/wait_queue.hpp
+++ b/libs/dispatch/src/wait_queue.hpp
@@ -30,7 +30,11 @@
         time_point latest_start;
         std::uint64_t number = 0;
 
-        friend auto operator<=>(key const&, key const&) = default;
+        friend bool operator<(key const& left, key const& right)
+        {
+            return std::tie(left.standing, left.latest_start, left.number) <
+                   std::tie(right.standing, right.latest_start, right.number);
+        }
     };
 
     using map = std::map<key, job_ptr>;
--- a/libs/gateway/include/gateway/gateway.hpp
+++ b/libs/gateway/include/gateway/gateway.hpp
@@ -20,7 +20,7 @@
 {
 public:
     gateway(boost::asio::any_io_executor executor,
-            config::gateway_settings settings);
+            config::gateway_settings const& settings);
     ~gateway();
 
     gateway(gateway const&) = delete;
@@ -34,7 +34,7 @@
     void drain();
 
     /// Applies changed settings, as far as they may change while it runs.
-    void reload(config::gateway_settings settings);
+    void reload(config::gateway_settings const& settings);
 
 private:
     class impl;
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -116,7 +116,8 @@
 class gateway::impl
 {
 public:
-    impl(asio::any_io_executor executor, config::gateway_settings settings)
+    impl(asio::any_io_executor executor,
+         config::gateway_settings const& settings)
         : executor_(std::move(executor)),
           state_(settings, identity_of(settings.gateway), steady_clock::now()),
           endpoint_client_(executor_, endpoint_client_limits()),
@@ -148,7 +149,7 @@
               error_response),
           ready_server_(
               executor_, {},
-              [this](transport::http_request)
+              [this](transport::http_request const&)
               {
                   return answer_ready();
               },
@@ -201,7 +202,7 @@
         asio::co_spawn(executor_, finish(), asio::detached);
     }
 
-    void reload(config::gateway_settings settings)
+    void reload(config::gateway_settings const& settings)
     {
         for (auto const& seed : settings.seeds)
             state_.roster.add_candidate(config::to_string(seed));
@@ -360,8 +361,8 @@
 };
 
 gateway::gateway(asio::any_io_executor executor,
-                 config::gateway_settings settings)
-    : impl_(std::make_unique<impl>(std::move(executor), std::move(settings)))
+                 config::gateway_settings const& settings)
+    : impl_(std::make_unique<impl>(std::move(executor), settings))
 {
 }
 
@@ -377,9 +378,9 @@
     impl_->drain();
 }
 
-void gateway::reload(config::gateway_settings settings)
+void gateway::reload(config::gateway_settings const& settings)
 {
-    impl_->reload(std::move(settings));
+    impl_->reload(settings);
 }
 
 } // namespace masticshift::gateway
--- a/libs/gateway/tests/deployment.hpp
+++ b/libs/gateway/tests/deployment.hpp
@@ -148,7 +148,7 @@
         request.body = R"({"best_effort":true,"spec":"s")" + extra +
                        R"(,"steps":[{"count":)" + std::to_string(tasks) +
                        R"(,"cpu":6800,"mem_mb":64,"estimate_ms":40}]})";
-        auto const waiting = std::make_shared<pending>();
+        auto waiting = std::make_shared<pending>();
         auto const address = members_[number].settings.gateway.caller_address;
         boost::asio::co_spawn(context_,
                               send(client_, address, request, waiting),
--- a/libs/test_support/src/gateway_standin.cpp
+++ b/libs/test_support/src/gateway_standin.cpp
@@ -118,7 +118,7 @@
                 return answer_endpoint(self.lock(), id, std::move(request));
             },
             error_answer);
-        auto const listening = made->server->listen("127.0.0.1", 0);
+        auto listening = made->server->listen("127.0.0.1", 0);
         endpoints_[id] = std::move(made);
         asio::co_spawn(executor_, keep_registered(weak_from_this(), id),
                        asio::detached);
@@ -332,8 +332,11 @@
         for (auto& [other, each] : endpoints_)
         {
             if (other != id && each->model.runs_task(task, now))
-                findings.doubled.push_back(task + " on " + id + " and " +
-                                           other);
+            {
+                auto found = task;
+                found.append(" on ").append(id).append(" and ").append(other);
+                findings.doubled.push_back(std::move(found));
+            }
         }
     }
 
--- a/tools/gateway_soak/src/gateway_child.cpp
+++ b/tools/gateway_soak/src/gateway_child.cpp
@@ -8,7 +8,7 @@
 gateway_child::gateway_child(test_support::network_thread& network,
                              test_support::scratch_folder const& folder,
                              std::string const& program, std::string name,
-                             std::string data_centre,
+                             std::string const& data_centre,
                              config::socket_address const& store)
     : program_(program),
       name_(std::move(name)),
--- a/tools/gateway_soak/src/gateway_child.hpp
+++ b/tools/gateway_soak/src/gateway_child.hpp
@@ -20,7 +20,8 @@
     gateway_child(test_support::network_thread& network,
                   test_support::scratch_folder const& folder,
                   std::string const& program, std::string name,
-                  std::string data_centre, config::socket_address const& store);
+                  std::string const& data_centre,
+                  config::socket_address const& store);
 
     void start();
     void signal(int number);
--- a/tools/masticshiftd/src/gateway_process.cpp
+++ b/tools/masticshiftd/src/gateway_process.cpp
@@ -74,7 +74,7 @@
         auto settings = config::load_gateway_settings(path_);
         if (settings)
         {
-            served_.reload(std::move(*settings));
+            served_.reload(*settings);
             return;
         }
         log_event(log_level::error, "reload_refused",
@@ -102,7 +102,7 @@
     // One thread: the deciding parts need no locks.
     constexpr int threads = 1;
     asio::io_context context(threads);
-    gateway::gateway served(context.get_executor(), std::move(settings));
+    gateway::gateway served(context.get_executor(), settings);
     auto const started = served.start(
         [&context]
         {
