--- a/libs/dispatch/src/peer_roster.cpp
+++ b/libs/dispatch/src/peer_roster.cpp
@@ -280,7 +280,8 @@
     auto const orphaned = orphaned_since_.try_emplace(cell, now).first->second;
     if (leaving_ || !has_listened(now))
         return false;
-    if (self_.data_centre != data_centre &&
+    // A dispatcher that retires announces it: nobody is about to start.
+    if (self_.data_centre != data_centre && !is_retiring(cell, now) &&
         now - orphaned < foreign_claim_delay)
         return false;
     auto const own = rank_for(cell, data_centre, self_, claims_);
--- a/libs/dispatch/tests/peer_roster_test.cpp
+++ b/libs/dispatch/tests/peer_roster_test.cpp
@@ -178,3 +178,16 @@
         tested.heard(make_sign(local), heard);
     CHECK(tested.should_retire(foreign, "far", later + milliseconds(1'100)));
 }
+
+TEST_CASE("a foreign cell is taken at once from a dispatcher that retires")
+{
+    peer_roster tested(make_entry("10.0.0.1:1"), start);
+    auto far = make_entry("10.0.0.2:1", 500);
+    far.data_centre = "far";
+    auto claim = make_claim(9, 3, true);
+    claim.cell = "far/0/1";
+    auto sign = make_sign(far, claim);
+    sign.leaving = true;
+    tested.heard(sign, settled);
+    CHECK(tested.should_claim("far/0/1", "far", settled));
+}
