--- a/build.sh
+++ b/build.sh
@@ -36,7 +36,22 @@
         grep -v '/generated/'
 }
 
+# Names of the platform's protocol stand in the adapter, in stand-ins and in
+# tests only.
+check_wire_names() {
+    local names='run-start|run-stop|rows-|last_seen|until_ms|fencing_token'
+    names+='|expected_rev|best_effort|ended_runs|cold_left_ms|X-Expect-Instance'
+    local found
+    found="$(sources | grep -vE '^platform/|/tests/|stand_?in' |
+        xargs grep -lE "\"/?($names)" || true)"
+    if [ -n "$found" ]; then
+        echo "names of the platform's protocol outside platform/: $found" >&2
+        return 1
+    fi
+}
+
 lint() {
+    check_wire_names
     sources | xargs clang-format --dry-run --Werror
     mkdir -p out
     configure lint
@@ -56,6 +71,7 @@
   lint      check format and lint
   asan      build and test with the address and undefined sanitizers
   faults    run the full fault matrix on real processes
+  soak      run gateways under random faults, fifty seeds
   bench     run the load scenarios and write the report
   capacity  measure the slopes behind docs/CAPACITY.md
 TEXT
@@ -82,6 +98,10 @@
         install_packages
         build release
         out/release/bin/fault_matrix --full ;;
+    soak)
+        install_packages
+        build release
+        out/release/bin/gateway_soak --seed 1000 --seeds 50 ;;
     bench)
         install_packages
         build release
--- a/libs/test_support/include/test_support/gateway_standin.hpp
+++ b/libs/test_support/include/test_support/gateway_standin.hpp
@@ -50,6 +50,11 @@
     std::set<std::string> started_jobs;
 };
 
+/// What a caller of the platform sends to submit a job of equal tasks to the
+/// queue of the stand-in.
+transport::http_request make_job_request(std::string const& id, int tasks,
+                                         milliseconds patience);
+
 /// The platform's store and endpoints, as far as a gateway uses them, over
 /// HTTP on loopback. Written from the published protocol, without the code of
 /// the adapter.
--- a/libs/test_support/src/gateway_standin.cpp
+++ b/libs/test_support/src/gateway_standin.cpp
@@ -28,6 +28,9 @@
 
 constexpr int latest_order_ms = 4'000;
 
+/// Thousandths of a core that a task takes.
+constexpr std::int64_t task_processor = 6'800;
+
 std::string encode_base64(std::string const& bytes)
 {
     std::string text(4 * ((bytes.size() + 2) / 3) + 1, '\0');
@@ -73,6 +76,27 @@
 
 } // namespace
 
+transport::http_request make_job_request(std::string const& id, int tasks,
+                                         milliseconds patience)
+{
+    transport::http_request request;
+    request.method = "POST";
+    request.target = "/q/" + id;
+    request.fields.set("Host", "jobs.example");
+    request.fields.set("X-Deadline-Ms", std::to_string(patience.count()));
+    json::object step;
+    step["count"] = tasks;
+    step["cpu"] = task_processor;
+    step["mem_mb"] = 64;
+    step["estimate_ms"] = 60;
+    json::object body;
+    body["best_effort"] = true;
+    body["spec"] = "s";
+    body["steps"] = json::array{std::move(step)};
+    request.body = json::serialize(body);
+    return request;
+}
+
 class gateway_standin::impl : public std::enable_shared_from_this<impl>
 {
 public:
@@ -319,7 +343,6 @@
 
     static std::size_t room_of(endpoint const& of)
     {
-        constexpr std::int64_t task_processor = 6'800;
         return static_cast<std::size_t>(of.model.record().capacity.processor /
                                         task_processor);
     }
--- a/tools/gateway_soak/src/soak_callers.cpp
+++ b/tools/gateway_soak/src/soak_callers.cpp
@@ -1,5 +1,7 @@
 #include "soak_callers.hpp"
 
+#include <test_support/gateway_standin.hpp>
+
 #include <boost/asio.hpp>
 
 #include <array>
@@ -18,19 +20,6 @@
 constexpr milliseconds patience{2'500};
 constexpr int most_sends = 3;
 
-transport::http_request make_request(std::string const& id, int tasks)
-{
-    transport::http_request request;
-    request.method = "POST";
-    request.target = "/q/" + id;
-    request.fields.set("Host", "jobs.example");
-    request.fields.set("X-Deadline-Ms", std::to_string(patience.count()));
-    request.body = R"({"best_effort":true,"spec":"s","steps":[{"count":)" +
-                   std::to_string(tasks) +
-                   R"(,"cpu":6800,"mem_mb":64,"estimate_ms":60}]})";
-    return request;
-}
-
 } // namespace
 
 class soak_callers::job
@@ -44,7 +33,8 @@
         for (int sends = 0; sends < most_sends; ++sends)
         {
             auto const result = co_await owner.client_->call(
-                to.ip, to.port, make_request(id, tasks),
+                to.ip, to.port,
+                test_support::make_job_request(id, tasks, patience),
                 steady_clock::now() + patience);
             refused_only = refused_only && is_refused(result);
             if (result && result->status != 502)
