--- a/libs/dispatch/src/dispatcher_placement.cpp
+++ b/libs/dispatch/src/dispatcher_placement.cpp
@@ -275,6 +275,7 @@
     switch (answer)
     {
     case order_answer::accepted:
+        account->health().answered();
         if (run.phase == run_phase::starting)
         {
             run.phase = run_phase::running;
@@ -282,7 +283,7 @@
         }
         return;
     case order_answer::unanswered:
-        account->health().failed(now);
+        account->health().unanswered(now);
         account->note_silence(now);
         stop_run(*account, order.run, now);
         return;
--- a/libs/dispatch/src/endpoint_health.cpp
+++ b/libs/dispatch/src/endpoint_health.cpp
@@ -17,6 +17,10 @@
 
 constexpr unsigned failures_until_ejection = 2;
 
+/// One order in eighteen is lost on the users' days with such a fault: three in
+/// a row are then one in six thousand.
+constexpr unsigned unanswered_until_failure = 3;
+
 constexpr std::array trust_names{"full", "probation", "ejected"};
 
 } // namespace
@@ -50,6 +54,17 @@
     ejected_until_ = now + pause;
 }
 
+void endpoint_health::answered()
+{
+    unanswered_ = 0;
+}
+
+void endpoint_health::unanswered(time_point now)
+{
+    if (++unanswered_ >= unanswered_until_failure)
+        failed(now);
+}
+
 unsigned endpoint_health::failures_in_a_row() const
 {
     return failures_;
