Let lists wait until the next end is expected

Change: a list waits until shortly after the next expected end, 40 to 200 ms; a lost one is noticed 80 ms later and repeated at once.

--- a/libs/dispatch/src/endpoint_account.cpp
+++ b/libs/dispatch/src/endpoint_account.cpp
@@ -16,9 +16,14 @@
 /// end, so that one lost answer is not enough.
 constexpr milliseconds silent_after{500};
 
-/// How long a list waits for an end while wanted work runs. A fifth of the
-/// longest lease, so that four renewals in a row may fail.
-constexpr milliseconds usual_wait{200};
+/// How long a list waits for an end at most while wanted work runs. A fifth of
+/// the longest lease, so that four renewals in a row may fail.
+constexpr milliseconds longest_wait{200};
+
+/// A list waits until shortly after the next end is expected: if its answer is
+/// lost, the next one tells of that end soon.
+constexpr milliseconds shortest_wait{40};
+constexpr milliseconds wait_margin{15};
 
 /// The same while a run has to go: a stop is over soon.
 constexpr milliseconds stopping_wait{20};
@@ -133,13 +138,26 @@
     order.wait = stopping_wait;
     if (clock_.known() && all_wanted())
     {
-        order.wait = usual_wait;
+        order.wait = wait_for_end(now);
         order.lease_until = clock_.lease_end(now, limits_.longest_lease);
         note_lease(*order.lease_until);
     }
     return order;
 }
 
+milliseconds endpoint_account::wait_for_end(time_point now) const
+{
+    auto wait = longest_wait;
+    for (auto const& [key, run] : runs_)
+    {
+        auto const begun = std::max(run.ordered, run.confirmed);
+        auto const left = std::chrono::duration_cast<milliseconds>(
+            begun + run.expected + wait_margin - now);
+        wait = std::min(wait, std::max(left, shortest_wait));
+    }
+    return wait;
+}
+
 void endpoint_account::note_acknowledged(std::int64_t number)
 {
     acknowledged_end_ = std::max(acknowledged_end_, number);
--- a/libs/dispatch/src/endpoint_account.hpp
+++ b/libs/dispatch/src/endpoint_account.hpp
@@ -180,6 +180,8 @@
     using run_map = std::map<run_key, placed_run>;
 
     bool is_over(placed_run const& run, time_point sent) const;
+    /// How long a list should wait for an end.
+    milliseconds wait_for_end(time_point now) const;
     void note_active(active_run const& seen, time_point sent, time_point now,
                      list_changes& changes);
     void note_lease(std::int64_t lease_until);
--- a/libs/gateway/src/endpoint_io.cpp
+++ b/libs/gateway/src/endpoint_io.cpp
@@ -13,14 +13,15 @@
 /// stopped, which is worth more the earlier it is done.
 constexpr milliseconds order_timeout{150};
 
-/// A list answers when its wait is over.
-constexpr milliseconds list_timeout{150};
+/// A list answers when its wait is over, and a millisecond later at most.
+constexpr milliseconds list_timeout{80};
 
 /// Pause between two reads of an endpoint that has nothing to tell, ended by
 /// the first order.
 constexpr milliseconds idle_pause{2'000};
 
-/// Pause after a failed read.
+/// Pause after a failed read, and after further ones in a row.
+constexpr milliseconds first_retry_pause{10};
 constexpr milliseconds retry_pause{100};
 
 dispatch::order_answer answer_of(transport::call_failure const& failed)
@@ -35,6 +36,7 @@
 asio::awaitable<void> cell_host::watch_endpoint(self_ptr self,
                                                 std::string endpoint)
 {
+    unsigned failures = 0;
     while (!self->stopped_)
     {
         auto const found = self->loops_.find(endpoint);
@@ -47,8 +49,11 @@
         if (order)
         {
             if (co_await self->read_list(endpoint, *order))
+            {
+                failures = 0;
                 continue;
-            wait = retry_pause;
+            }
+            wait = ++failures == 1 ? first_retry_pause : retry_pause;
         }
         wake->expires_after(wait);
         co_await wake->async_wait(as_values);
