Leave a cell that a cut has hidden to its dispatcher

Now an entry probes a foreign cell as long as it seems orphaned, and claims it only once the probes have been answered for 1.1 s, in which silent dispatchers are sent signs of life first. A dispatcher of the own data centre does not give way to a foreign one. Tests: three cases in peer_roster_test.

--- a/libs/dispatch/include/dispatch/peer_roster.hpp
+++ b/libs/dispatch/include/dispatch/peer_roster.hpp
@@ -107,10 +107,18 @@
     /// Whether this entry should dispatch the cell. Its data centre's entries
     /// come first, then those without a cell, then the larger ones. Cells of
     /// another data centre are left alone for a while, as its own entries may
-    /// be about to start.
+    /// be about to start, or may only have been cut off from this one.
     bool should_claim(std::string const& cell, std::string const& data_centre,
                       time_point now);
 
+    /// Whether to find out if the endpoints of this cell can be reached, as the
+    /// cell is another data centre's and seems to have no dispatcher.
+    bool should_probe(std::string const& cell, std::string const& data_centre,
+                      time_point now);
+
+    /// The outcome of a probe.
+    void note_probe(std::string const& cell, bool reachable, time_point now);
+
     /// Whether another entry should dispatch the cell in place of this one.
     bool should_retire(std::string const& cell, std::string const& data_centre,
                        time_point now) const;
@@ -161,6 +169,11 @@
     template <class Function>
     void for_each_claim(time_point now, Function const& function) const;
     dispatch_claim const* own_claim(std::string const& cell) const;
+    /// Since when the cell has had no dispatcher. Nothing: it has one.
+    std::optional<time_point> orphaned_since(std::string const& cell,
+                                             time_point now);
+    bool may_claim_foreign(std::string const& cell, time_point orphaned,
+                           time_point now) const;
 
     entry_identity self_;
     time_point started_;
@@ -177,6 +190,8 @@
     bool directory_read_ = false;
     /// Since when a cell has had no dispatcher.
     std::map<std::string, time_point> orphaned_since_;
+    /// Since when each probe of a cell has been answered.
+    std::map<std::string, time_point> reachable_since_;
     std::size_t turn_ = 0;
 };
 
--- a/libs/dispatch/src/peer_roster.cpp
+++ b/libs/dispatch/src/peer_roster.cpp
@@ -28,6 +28,11 @@
 /// after the time in which a process starts again.
 constexpr milliseconds foreign_claim_delay{1'500};
 
+/// When a cut between data centres ends, endpoints can be reached before their
+/// dispatcher has been heard of again. Its entry is sent a sign of life within
+/// 800 ms, as there are eight cells at most, and connects again within 300 ms.
+constexpr milliseconds foreign_reach_delay{1'100};
+
 /// A cell goes back to its data centre when an entry there has lived this long.
 constexpr milliseconds stable_after{1'000};
 
@@ -163,14 +168,19 @@
 std::vector<std::string> peer_roster::targets(time_point now)
 {
     std::vector<peer const*> alive;
-    std::vector<std::string> others;
+    std::vector<std::string> silent;
+    std::vector<std::string> silent_dispatchers;
     for (auto const& address : candidates_)
     {
         auto const found = peers_.find(address);
         if (found != peers_.end() && is_alive(found->second, now))
+        {
             alive.push_back(&found->second);
-        else
-            others.push_back(address);
+            continue;
+        }
+        silent.push_back(address);
+        if (found != peers_.end() && !found->second.sign.claims.empty())
+            silent_dispatchers.push_back(address);
     }
     std::ranges::sort(alive, {},
                       [](peer const* each)
@@ -190,8 +200,11 @@
         chosen.push_back(
             alive[watched_entries + turn_ % rest]->sign.sender.address);
     }
-    if (!others.empty())
-        chosen.push_back(others[turn_ % others.size()]);
+    if (!silent.empty())
+        chosen.push_back(silent[turn_ % silent.size()]);
+    // After a cut, the other side's dispatchers have to be heard first.
+    if (!silent_dispatchers.empty())
+        chosen.push_back(silent_dispatchers[turn_ % silent_dispatchers.size()]);
     return chosen;
 }
 
@@ -269,20 +282,53 @@
     return rival;
 }
 
+std::optional<time_point> peer_roster::orphaned_since(std::string const& cell,
+                                                      time_point now)
+{
+    if (own_claim(cell) == nullptr && !dispatcher_of(cell, now))
+        return orphaned_since_.try_emplace(cell, now).first->second;
+    orphaned_since_.erase(cell);
+    reachable_since_.erase(cell);
+    return std::nullopt;
+}
+
+bool peer_roster::may_claim_foreign(std::string const& cell,
+                                    time_point orphaned, time_point now) const
+{
+    auto const reachable = reachable_since_.find(cell);
+    if (reachable == reachable_since_.end())
+        return false;
+    // A dispatcher that retires announces it: nobody is about to start, and it
+    // has been heard.
+    return is_retiring(cell, now) ||
+           (now - orphaned >= foreign_claim_delay &&
+            now - reachable->second >= foreign_reach_delay);
+}
+
+bool peer_roster::should_probe(std::string const& cell,
+                               std::string const& data_centre, time_point now)
+{
+    return self_.data_centre != data_centre && !leaving_ && has_listened(now) &&
+           orphaned_since(cell, now);
+}
+
+void peer_roster::note_probe(std::string const& cell, bool reachable,
+                             time_point now)
+{
+    if (reachable)
+        reachable_since_.try_emplace(cell, now);
+    else
+        reachable_since_.erase(cell);
+}
+
 bool peer_roster::should_claim(std::string const& cell,
                                std::string const& data_centre, time_point now)
 {
-    if (own_claim(cell) != nullptr || dispatcher_of(cell, now))
-    {
-        orphaned_since_.erase(cell);
+    auto const orphaned = orphaned_since(cell, now);
+    if (!orphaned || leaving_ || !has_listened(now))
         return false;
-    }
-    auto const orphaned = orphaned_since_.try_emplace(cell, now).first->second;
-    if (leaving_ || !has_listened(now))
-        return false;
-    // A dispatcher that retires announces it: nobody is about to start.
-    if (self_.data_centre != data_centre && !is_retiring(cell, now) &&
-        now - orphaned < foreign_claim_delay)
+    if (self_.data_centre != data_centre &&
+        !may_claim_foreign(cell, *orphaned, now))
         return false;
     auto const own = rank_for(cell, data_centre, self_, claims_);
     return std::ranges::all_of(
@@ -304,12 +350,17 @@
         return false;
     bool retire = leaving_ || (self_.data_centre != data_centre &&
                                has_stable_entry(data_centre, now));
+    auto const standing =
+        [&](entry_identity const& entry, dispatch_claim const& claim)
+    {
+        return std::tuple(entry.data_centre == data_centre, claim.endpoints,
+                          claim.token);
+    };
     for_each_claim(now,
-                   [&](entry_identity const&, dispatch_claim const& claim)
+                   [&](entry_identity const& entry, dispatch_claim const& claim)
                    {
                        if (claim.cell == cell && !claim.retiring &&
-                           std::tuple(claim.endpoints, claim.token) >
-                               std::tuple(own->endpoints, own->token))
+                           standing(entry, claim) > standing(self_, *own))
                            retire = true;
                    });
     return retire;
--- a/libs/dispatch/tests/peer_roster_test.cpp
+++ b/libs/dispatch/tests/peer_roster_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 using namespace masticshift;
 using namespace masticshift::dispatch;
 
@@ -160,7 +162,11 @@
     auto const foreign = std::string("far/0/1");
     peer_roster tested(make_entry("10.0.0.1:1"), start);
     CHECK_FALSE(tested.should_claim(foreign, "far", settled));
+    CHECK(tested.should_probe(foreign, "far", settled));
+    tested.note_probe(foreign, true, settled);
     auto const later = settled + milliseconds(1'600);
+    CHECK_FALSE(
+        tested.should_claim(foreign, "far", settled + milliseconds(1'400)));
     CHECK(tested.should_claim(foreign, "far", later));
     auto claim = make_claim(7, 3);
     claim.cell = foreign;
@@ -189,5 +195,57 @@
     auto sign = make_sign(far, claim);
     sign.leaving = true;
     tested.heard(sign, settled);
+    CHECK_FALSE(tested.should_claim("far/0/1", "far", settled));
+    tested.note_probe("far/0/1", true, settled);
     CHECK(tested.should_claim("far/0/1", "far", settled));
 }
+
+TEST_CASE("a cell that a cut has hidden is left to its dispatcher")
+{
+    auto const foreign = std::string("far/0/1");
+    peer_roster tested(make_entry("10.0.0.1:1"), start);
+    CHECK_FALSE(tested.should_claim(foreign, "far", settled));
+    // The cut lasts five seconds. Then endpoints answer before their
+    // dispatcher is heard.
+    tested.note_probe(foreign, false, settled + milliseconds(4'900));
+    auto const healed = settled + milliseconds(5'000);
+    tested.note_probe(foreign, true, healed);
+    CHECK_FALSE(tested.should_claim(foreign, "far", healed));
+    CHECK_FALSE(
+        tested.should_claim(foreign, "far", healed + milliseconds(800)));
+    auto far = make_entry("10.0.0.2:1");
+    far.data_centre = "far";
+    auto claim = make_claim(9, 3);
+    claim.cell = foreign;
+    tested.heard(make_sign(far, claim), healed + milliseconds(900));
+    CHECK_FALSE(
+        tested.should_claim(foreign, "far", healed + milliseconds(1'200)));
+    CHECK_FALSE(
+        tested.should_probe(foreign, "far", healed + milliseconds(1'200)));
+}
+
+TEST_CASE("a silent dispatcher is tried more often than other silent entries")
+{
+    peer_roster tested(make_entry("10.0.0.1:1"), start);
+    for (int i = 2; i < 30; ++i)
+        tested.add_candidate("10.0.0." + std::to_string(i) + ":1");
+    tested.heard(make_sign(make_entry("10.0.0.9:1"), make_claim(9, 3)),
+                 settled);
+    auto const cut = settled + milliseconds(600);
+    auto const targets = tested.targets(cut);
+    CHECK(std::ranges::count(targets, "10.0.0.9:1") >= 1);
+}
+
+TEST_CASE("a dispatcher of the own data centre does not give way to a foreign")
+{
+    peer_roster tested(make_entry("10.0.0.1:1"), start);
+    tested.set_claims({make_claim(50, 3)});
+    auto rival = make_entry("10.0.0.2:1");
+    rival.data_centre = "far";
+    tested.heard(make_sign(rival, make_claim(99, 16)), settled);
+    CHECK_FALSE(tested.should_retire(cell, "dc", settled));
+    peer_roster foreign(rival, start);
+    foreign.set_claims({make_claim(99, 16)});
+    foreign.heard(make_sign(tested.self(), make_claim(50, 3)), settled);
+    CHECK(foreign.should_retire(cell, "dc", settled));
+}
--- a/libs/gateway/src/dispatch_host.cpp
+++ b/libs/gateway/src/dispatch_host.cpp
@@ -93,11 +93,10 @@
 {
     for (auto const& cell : layout_.cells())
     {
-        if (!state_.roster.should_claim(cell.name, cell.data_centre, now))
-            continue;
-        if (cell.data_centre == state_.settings.gateway.data_centre)
+        if (state_.roster.should_claim(cell.name, cell.data_centre, now))
             begin(cell);
-        else if (probed_.insert(cell.name).second)
+        else if (state_.roster.should_probe(cell.name, cell.data_centre, now) &&
+                 probed_.insert(cell.name).second)
             asio::co_spawn(executor_, probe(*this, cell), asio::detached);
     }
     for (auto each = cells_.begin(); each != cells_.end();)
@@ -148,12 +147,8 @@
             steady_clock::now() + probe_timeout);
         answered = result.has_value();
     }
-    auto const now = steady_clock::now();
-    if (answered && !self.cells_.contains(cell.name) &&
-        self.state_.roster.should_claim(cell.name, cell.data_centre, now))
-        self.begin(cell);
-    else
-        co_await pause(probe_timeout);
+    self.state_.roster.note_probe(cell.name, answered, steady_clock::now());
+    co_await pause(probe_timeout);
     self.probed_.erase(cell.name);
 }
 
