Let a job wait in the cell with the least work waiting

A job that found two cells busy waited in its own one, however long that cell's queue was, and its refusal was final. What cells told as free counted pieces that hold no task. Ruled out: too few endpoints in all; the others had room.

Claims now tell the backlog, free room counts in pieces of an average task, a job waits where the backlog is least, and one that a cell refuses as overloaded is offered to one more. Its objective counts from when its entry took it. Tests: cell_test, dispatcher_test.

--- a/libs/dispatch/include/dispatch/cell_choice.hpp
+++ b/libs/dispatch/include/dispatch/cell_choice.hpp
@@ -21,14 +21,23 @@
     bool only_if_idle = false;
 };
 
+/// Cells that did not take a job.
+struct tried_cells
+{
+    /// Could not start it at once.
+    std::set<std::string> busy;
+    /// Refused it, as it would end too late there.
+    std::set<std::string> overloaded;
+};
+
 /// Chooses the cell for a job: the own data centre's first, then those that
 /// have told of the most room, each only if it can start the job at once; in
-/// the end the own one, where the job waits. `busy` are the cells that could
-/// not start it. Nothing when nobody dispatches.
+/// the end the one with the least work waiting, where the job waits too.
+/// Nothing when nobody dispatches, or when enough cells have refused the job.
 std::optional<chosen_cell>
 choose_cell(std::vector<cell_dispatcher> const& cells,
             std::string const& data_centre, job_spec const& job,
-            std::set<std::string> const& busy);
+            tried_cells const& tried);
 
 } // namespace masticshift::dispatch
 
--- a/libs/dispatch/include/dispatch/dispatcher.hpp
+++ b/libs/dispatch/include/dispatch/dispatcher.hpp
@@ -89,8 +89,12 @@
     /// Endpoints that answer and take work.
     std::size_t usable() const;
 
-    /// Thousandths of a core that are free on endpoints that take work.
-    std::int64_t free_processor() const;
+    /// Thousandths of a core that are free on trusted endpoints, in pieces that
+    /// hold a task of average need.
+    std::int64_t free_processor(time_point now) const;
+
+    /// How long all usable endpoints together need for the tasks that wait.
+    duration backlog() const;
 
     /// Takes a job. Its end is told by `take_finished`. A live job of the same
     /// id ends as superseded, and the new one waits for its runs to stop.
--- a/libs/dispatch/include/dispatch/job.hpp
+++ b/libs/dispatch/include/dispatch/job.hpp
@@ -52,6 +52,8 @@
     milliseconds patience{0};
     /// Refused with `busy_cell` unless all its first tasks can start at once.
     bool only_if_idle = false;
+    /// How long ago the entry took the job. The objective counts from then.
+    milliseconds age{0};
 };
 
 /// How a job ended.
--- a/libs/dispatch/include/dispatch/peer_roster.hpp
+++ b/libs/dispatch/include/dispatch/peer_roster.hpp
@@ -37,6 +37,8 @@
     std::int64_t endpoints = 0;
     /// Thousandths of a core that are free on endpoints it can place on.
     std::int64_t free_processor = 0;
+    /// How long all its endpoints together need for the tasks that wait.
+    milliseconds backlog{0};
     /// Takes no new jobs and hands its endpoints over.
     bool retiring = false;
 };
--- a/libs/dispatch/src/dispatcher.cpp
+++ b/libs/dispatch/src/dispatcher.cpp
@@ -229,15 +229,14 @@
         }));
 }
 
-std::int64_t dispatcher::free_processor() const
+std::int64_t dispatcher::free_processor(time_point now) const
 {
-    std::int64_t free = 0;
-    for (auto const& [id, account] : impl_->accounts_)
-    {
-        if (account->takes_work())
-            free += account->free().processor;
-    }
-    return free;
+    return impl_->free_processor(now);
+}
+
+duration dispatcher::backlog() const
+{
+    return impl_->backlog();
 }
 
 void dispatcher::submit(job_spec spec, std::string origin, time_point now)
--- a/libs/dispatch/src/dispatcher_impl.hpp
+++ b/libs/dispatch/src/dispatcher_impl.hpp
@@ -59,6 +59,13 @@
     duration chain_time(job_spec const& spec) const;
     std::optional<job_result> refusal_of(job_state const& job, time_point now);
     duration wait_ahead_of(job_state const& job, duration latest) const;
+    duration backlog() const;
+    /// Thousandths of a core, in use or free, of endpoints that take work.
+    std::int64_t usable_processor() const;
+    /// Thousandths of a core times the time for which they are needed.
+    duration waiting_work(job_state const& job) const;
+    void note_need(std::int64_t processor);
+    std::int64_t free_processor(time_point now) const;
     void enqueue(job_ptr const& job, time_point now);
     void finish(job_ptr const& job, job_result result, time_point now);
     void remember(std::string const& id, time_point now);
@@ -107,6 +114,8 @@
     std::set<std::string> wakened_;
     dispatch_limits limits_;
     std::uint64_t next_job_ = 1;
+    /// Average need of a task, in thousandths of a core.
+    std::int64_t usual_need_ = 0;
     /// Runs by task that may be at work, also those of ended jobs.
     std::unordered_map<std::string, int> live_runs_;
     std::set<std::string> removed_;
--- a/libs/dispatch/src/dispatcher_jobs.cpp
+++ b/libs/dispatch/src/dispatcher_jobs.cpp
@@ -12,6 +12,9 @@
 /// Part of the objective within which a refusal is early.
 constexpr int early_part = 4;
 
+/// Needs of tasks are averaged over about this many.
+constexpr int need_samples = 16;
+
 /// Bounds of the pause that a refused caller is told.
 constexpr milliseconds least_retry{200};
 constexpr milliseconds longest_retry{5'000};
@@ -78,10 +81,12 @@
         auto const earlier = known->second;
         finish(earlier, {job_end::unknown, end_reason::superseded}, now);
     }
+    for (auto const& step : spec.steps)
+        note_need(step.need.processor);
     auto job = make_job(std::move(spec), std::move(origin), next_job_++, now);
     auto const chain = chain_time(job->spec);
     job->objective =
-        now +
+        job->accepted +
         std::chrono::duration_cast<duration>(chain * job->spec.slack_factor) +
         job->spec.target_latency;
     jobs_[job->spec.id] = job;
@@ -128,13 +133,7 @@
 duration dispatcher::impl::wait_ahead_of(job_state const& job,
                                          duration latest) const
 {
-    double capacity = 0;
-    for (auto const& [id, account] : accounts_)
-    {
-        if (account->takes_work())
-            capacity +=
-                static_cast<double>(account->record().capacity.processor);
-    }
+    auto const capacity = usable_processor();
     if (capacity <= 0)
         return {};
     auto const chain = chain_time(job.spec);
@@ -145,15 +144,60 @@
     {
         if (!(key < place) || wait > 2 * latest)
             break;
-        auto const& step = ahead->spec.steps.front();
-        auto const work =
-            speeds_.expected(ahead->spec.queue, step.estimate) *
-            (static_cast<double>(step.need.processor) * ahead->waiting_tasks);
-        wait += std::chrono::duration_cast<duration>(work / capacity);
+        wait += waiting_work(*ahead) / capacity;
     }
     return wait;
 }
 
+duration dispatcher::impl::backlog() const
+{
+    auto const capacity = usable_processor();
+    if (capacity <= 0)
+        return {};
+    duration wait{0};
+    for (auto const& [key, job] : queue_.jobs())
+        wait += waiting_work(*job) / capacity;
+    return wait;
+}
+
+std::int64_t dispatcher::impl::usable_processor() const
+{
+    std::int64_t processor = 0;
+    for (auto const& [id, account] : accounts_)
+    {
+        if (account->takes_work())
+            processor += account->record().capacity.processor;
+    }
+    return processor;
+}
+
+duration dispatcher::impl::waiting_work(job_state const& job) const
+{
+    auto const& step = job.spec.steps.front();
+    return speeds_.expected(job.spec.queue, step.estimate) *
+           (step.need.processor * job.waiting_tasks);
+}
+
+void dispatcher::impl::note_need(std::int64_t processor)
+{
+    usual_need_ = usual_need_ == 0
+                      ? processor
+                      : usual_need_ + (processor - usual_need_) / need_samples;
+}
+
+std::int64_t dispatcher::impl::free_processor(time_point now) const
+{
+    auto const unit = std::max<std::int64_t>(usual_need_, 1);
+    std::int64_t free = 0;
+    for (auto const& [id, account] : accounts_)
+    {
+        if (account->takes_work() &&
+            account->health().trust(now) == endpoint_trust::full)
+            free += account->free().processor / unit * unit;
+    }
+    return free;
+}
+
 void dispatcher::impl::enqueue(job_ptr const& job, time_point now)
 {
     auto const latest_start = job->objective - chain_time(job->spec);
--- a/libs/dispatch/src/job_state.cpp
+++ b/libs/dispatch/src/job_state.cpp
@@ -46,8 +46,8 @@
     job->number = number;
     job->spec = std::move(spec);
     job->origin = std::move(origin);
-    job->accepted = now;
-    job->abandoned = now + job->spec.patience;
+    job->accepted = now - job->spec.age;
+    job->abandoned = job->accepted + job->spec.patience;
     int step = 0;
     for (auto const& each : job->spec.steps)
     {
--- a/libs/dispatch/tests/cell_test.cpp
+++ b/libs/dispatch/tests/cell_test.cpp
@@ -62,17 +62,46 @@
     REQUIRE(first);
     CHECK(first->cell == "a/0/1");
     CHECK(first->only_if_idle);
-    auto const second = choose_cell(cells, "a", job, {"a/0/1"});
+    auto const second = choose_cell(cells, "a", job, {{"a/0/1"}, {}});
     REQUIRE(second);
     CHECK(second->cell == "c/0/1");
     CHECK(second->only_if_idle);
-    auto const last = choose_cell(cells, "a", job, {"a/0/1", "c/0/1"});
+    auto const last = choose_cell(cells, "a", job, {{"a/0/1", "c/0/1"}, {}});
     REQUIRE(last);
     CHECK(last->cell == "a/0/1");
     CHECK_FALSE(last->only_if_idle);
     CHECK_FALSE(choose_cell({}, "a", job, {}));
 }
 
+TEST_CASE("a job waits where the least work waits, at home if that is close")
+{
+    auto const job = make_spec("a", 8);
+    std::vector<cell_dispatcher> cells{
+        make_cell("a/0/1", 0), make_cell("b/0/1", 0), make_cell("c/0/1", 0)};
+    tried_cells const tried{{"a/0/1", "b/0/1"}, {}};
+    cells[0].claim.backlog = milliseconds(120);
+    cells[1].claim.backlog = milliseconds(60);
+    cells[2].claim.backlog = milliseconds(90);
+    CHECK(choose_cell(cells, "a", job, tried)->cell == "b/0/1");
+    CHECK_FALSE(choose_cell(cells, "a", job, tried)->only_if_idle);
+    cells[0].claim.backlog = milliseconds(65);
+    CHECK(choose_cell(cells, "a", job, tried)->cell == "a/0/1");
+}
+
+TEST_CASE("a job that a cell has refused is offered to one more")
+{
+    auto const job = make_spec("a", 2);
+    std::vector<cell_dispatcher> const cells{
+        make_cell("a/0/1", 0), make_cell("b/0/1", 0), make_cell("c/0/1", 0)};
+    auto const next = choose_cell(cells, "a", job, {{"a/0/1"}, {"a/0/1"}});
+    REQUIRE(next);
+    CHECK(next->cell != "a/0/1");
+    CHECK_FALSE(next->only_if_idle);
+    CHECK_FALSE(choose_cell(cells, "a", job, {{"a/0/1"}, {"a/0/1", "b/0/1"}}));
+    CHECK_FALSE(
+        choose_cell({make_cell("a/0/1", 0)}, "a", job, {{}, {"a/0/1"}}));
+}
+
 TEST_CASE("a job waits in the only cell there is")
 {
     auto const choice =
--- a/libs/dispatch/tests/dispatcher_test.cpp
+++ b/libs/dispatch/tests/dispatcher_test.cpp
@@ -379,3 +379,38 @@
     CHECK(finished[0].origin == "other");
     CHECK(finished[0].result.end == job_end::completed);
 }
+
+TEST_CASE("room that no usual task fits in is not told as free")
+{
+    bench b(2);
+    auto const whole = b.tested.free_processor(b.now);
+    CHECK(whole == 32'000);
+    b.tested.submit(make_spec("a", 3), "home", b.now);
+    // Each endpoint of 16 cores holds two tasks of 6.8 and has 2.4 left.
+    CHECK(b.tested.free_processor(b.now) == 6'800);
+    CHECK(b.tested.backlog() == duration(0));
+    b.tested.submit(make_spec("b", 4), "home", b.now);
+    CHECK(b.tested.free_processor(b.now) == 0);
+    CHECK(b.tested.backlog() > milliseconds(30));
+}
+
+TEST_CASE("the objective counts from when the entry took the job")
+{
+    bench b(1);
+    auto spec = make_spec("a", 1);
+    // 60 ms of work, 1.6 times as much allowed, and 60 ms more.
+    spec.age = milliseconds(150);
+    b.tested.submit(spec, "home", b.now);
+    spec.id = "b";
+    spec.age = milliseconds(0);
+    spec.steps[0].task_count = 2;
+    b.tested.submit(spec, "home", b.now);
+    CHECK(b.tested.runs() == 2);
+    spec.id = "c";
+    spec.age = milliseconds(150);
+    b.tested.submit(spec, "home", b.now);
+    auto const finished = b.tested.take_finished();
+    REQUIRE(finished.size() == 1);
+    CHECK(finished[0].id == "c");
+    CHECK(finished[0].result.reason == end_reason::overloaded);
+}
--- a/libs/gateway/src/cell_host.cpp
+++ b/libs/gateway/src/cell_host.cpp
@@ -192,14 +192,15 @@
     flush();
 }
 
-dispatch::dispatch_claim cell_host::claim() const
+dispatch::dispatch_claim cell_host::claim(time_point now) const
 {
     dispatch::dispatch_claim claim;
     claim.cell = cell_;
     claim.token = dispatcher_->token();
     claim.endpoints = static_cast<std::int64_t>(dispatcher_->usable());
     claim.free_processor =
-        dispatcher_->waiting_tasks() > 0 ? 0 : dispatcher_->free_processor();
+        dispatcher_->waiting_tasks() > 0 ? 0 : dispatcher_->free_processor(now);
+    claim.backlog = std::chrono::ceil<milliseconds>(dispatcher_->backlog());
     claim.retiring = retiring_;
     return claim;
 }
--- a/libs/gateway/src/cell_host.hpp
+++ b/libs/gateway/src/cell_host.hpp
@@ -55,7 +55,7 @@
     /// Whether everything has been handed over, or the time for it is up.
     bool is_handed_over(time_point now) const;
 
-    dispatch::dispatch_claim claim() const;
+    dispatch::dispatch_claim claim(time_point now) const;
 
     dispatch::dispatcher const& dispatcher() const
     {
--- a/libs/gateway/src/dispatch_host.cpp
+++ b/libs/gateway/src/dispatch_host.cpp
@@ -175,9 +175,10 @@
 
 void dispatch_host::update_claims()
 {
+    auto const now = steady_clock::now();
     std::vector<dispatch::dispatch_claim> claims;
     for (auto const& [name, cell] : cells_)
-        claims.push_back(cell->claim());
+        claims.push_back(cell->claim(now));
     state_.roster.set_claims(std::move(claims));
 }
 
--- a/libs/gateway/src/job_desk.cpp
+++ b/libs/gateway/src/job_desk.cpp
@@ -5,8 +5,6 @@
 #include <core/log.hpp>
 #include <dispatch/cell_choice.hpp>
 
-#include <set>
-
 namespace masticshift::gateway
 {
 
@@ -39,8 +37,7 @@
     /// Entry and cell that may have the job.
     std::string dispatcher;
     std::string cell;
-    /// Cells that were busy.
-    std::set<std::string> busy;
+    dispatch::tried_cells tried;
     bool gone = false;
 };
 
@@ -141,7 +138,8 @@
                {"version", state_.configuration_version},
                {"dispatcher", job->dispatcher},
                {"cell", job->cell},
-               {"busy_cells", job->busy.size()},
+               {"busy_cells", job->tried.busy.size()},
+               {"overloaded_cells", job->tried.overloaded.size()},
                {"end", dispatch::name_of(result.end)},
                {"reason", dispatch::name_of(result.reason)},
                {"caller_gone", job->gone},
@@ -151,22 +149,24 @@
 
 bool job_desk::choose_cell(submission& job)
 {
-    auto const cells = state_.roster.dispatchers(steady_clock::now());
+    auto const now = steady_clock::now();
+    auto const cells = state_.roster.dispatchers(now);
     auto const choice = dispatch::choose_cell(
-        cells, state_.roster.self().data_centre, job.job, job.busy);
+        cells, state_.roster.self().data_centre, job.job, job.tried);
     if (!choice)
         return false;
     job.dispatcher = choice->address;
     job.cell = choice->cell;
     job.job.only_if_idle = choice->only_if_idle;
+    job.job.age = std::chrono::duration_cast<milliseconds>(now - job.accepted);
     return true;
 }
 
 asio::awaitable<dispatch::job_result> job_desk::dispatch(submission_ptr job)
 {
-    dispatch::job_result none{dispatch::job_end::refused,
-                              dispatch::end_reason::not_dispatcher,
-                              no_dispatcher_retry};
+    dispatch::job_result refusal{dispatch::job_end::refused,
+                                 dispatch::end_reason::not_dispatcher,
+                                 no_dispatcher_retry};
     while (!job->gone)
     {
         if (choose_cell(*job))
@@ -176,17 +176,27 @@
                 co_return result;
             if (result.reason == dispatch::end_reason::busy_cell)
             {
-                job->busy.insert(job->cell);
+                job->tried.busy.insert(job->cell);
+                continue;
+            }
+            if (result.reason == dispatch::end_reason::overloaded)
+            {
+                job->tried.overloaded.insert(job->cell);
+                refusal = result;
                 continue;
             }
             if (result.reason != dispatch::end_reason::not_dispatcher)
                 co_return result;
         }
+        else if (!job->tried.overloaded.empty())
+        {
+            co_return refusal;
+        }
         if (steady_clock::now() - job->accepted > dispatcher_wait)
-            co_return none;
+            co_return refusal;
         co_await pause(dispatcher_pause);
     }
-    co_return none;
+    co_return refusal;
 }
 
 asio::awaitable<dispatch::job_result>
--- a/libs/gateway/src/peer_wire.cpp
+++ b/libs/gateway/src/peer_wire.cpp
@@ -1,5 +1,7 @@
 #include "peer_wire.hpp"
 
+#include <algorithm>
+
 namespace masticshift::gateway
 {
 
@@ -78,6 +80,7 @@
         row.endpoints = claim.endpoints;
         row.free_processor = claim.free_processor;
         row.retiring = claim.retiring;
+        row.backlog_ms = claim.backlog.count();
         made.claims.push_back(std::move(row));
     }
     made.configuration_version = sign.configuration_version;
@@ -94,7 +97,8 @@
     made.leaving = pulse.leaving;
     for (auto const& row : pulse.claims)
         made.claims.push_back({row.cell, row.token, row.endpoints,
-                               row.free_processor, row.retiring});
+                               row.free_processor, milliseconds(row.backlog_ms),
+                               row.retiring});
     made.configuration_version = pulse.configuration_version;
     made.highest_token = pulse.highest_token;
     for (auto const& entry : pulse.known)
@@ -119,6 +123,7 @@
     made.patience_ms = job.patience.count();
     made.origin = to_wire(origin);
     made.only_if_idle = job.only_if_idle;
+    made.age_ms = job.age.count();
     return made;
 }
 
@@ -144,6 +149,7 @@
     made.target_latency = milliseconds(job.target_latency_ms);
     made.patience = milliseconds(job.patience_ms);
     made.only_if_idle = job.only_if_idle;
+    made.age = milliseconds(std::max<std::int64_t>(job.age_ms, 0));
     return made;
 }
 
--- a/libs/peer_link/idl/masticshift.thrift
+++ b/libs/peer_link/idl/masticshift.thrift
@@ -179,6 +179,8 @@
   4: i64 free_processor
   // Hands its endpoints over to the next dispatcher.
   5: bool retiring
+  // How long all its endpoints together need for the tasks that wait.
+  6: i64 backlog_ms
 }
 
 // Sign of life of an entry that serves callers of the users' platform.
@@ -225,6 +227,8 @@
   12: string cell
   // Refused unless all its first tasks can start at once.
   13: bool only_if_idle
+  // How long ago the entry took the job.
+  14: i64 age_ms
 }
 
 struct dispatch_reply {
