Repeat orders without an answer after 25 ms, not after 200

A 60 ms task has to end within 156 ms. Ruled out: that a run being stopped is missing from a list before its end is listed.

The limit follows the answers that come, as in RFC 6298, between 25 and 150 ms; a list sent after a confirmed stop decides at once; a lost stop is repeated at once; other connections are closed at the second unanswered call in a row. The setting bounds.stop_ms has no use any more.

--- a/libs/config/include/config/gateway_settings.hpp
+++ b/libs/config/include/config/gateway_settings.hpp
@@ -39,8 +39,6 @@
 {
     /// Longest lease that an endpoint grants.
     milliseconds longest_lease{1'000};
-    /// A stop of a run takes no longer.
-    milliseconds stop{50};
     /// A run on another rack than its data's takes this many times as long.
     double remote_factor = 1;
     /// Time from the signal to stop until the process is killed.
--- a/libs/config/src/gateway_settings.cpp
+++ b/libs/config/src/gateway_settings.cpp
@@ -52,7 +52,6 @@
 constexpr std::array bound_keys{
     member_key<&gateway_bounds::longest_lease>("longest_lease_ms", optional,
                                                {100, minute_ms}),
-    member_key<&gateway_bounds::stop>("stop_ms", optional, {1, minute_ms}),
     member_key<&gateway_bounds::remote_factor>("remote_factor", optional,
                                                {1, max_remote_factor}),
     member_key<&gateway_bounds::grace_seconds>("grace_seconds", optional,
--- a/libs/config/tests/gateway_settings_test.cpp
+++ b/libs/config/tests/gateway_settings_test.cpp
@@ -51,7 +51,7 @@
           settings->gateway.peer_address);
     CHECK(settings->seeds.size() == 1);
     CHECK(settings->bounds.longest_lease == milliseconds(900));
-    CHECK(settings->bounds.stop == milliseconds(50));
+    CHECK(settings->bounds.remote_factor == doctest::Approx(1.5));
     CHECK(settings->bounds.grace_seconds == doctest::Approx(6.5));
 }
 
--- a/libs/dispatch/include/dispatch/limits.hpp
+++ b/libs/dispatch/include/dispatch/limits.hpp
@@ -11,8 +11,6 @@
 {
     /// Longest lease that an endpoint grants. `bounds.hold_max_ms`.
     milliseconds longest_lease{1'000};
-    /// A stop takes no longer. `bounds.stop_ms`.
-    milliseconds stop_time{50};
     /// A run on another rack than the preferred takes this many times as long.
     /// `bounds.remote_factor`.
     double remote_factor = 1;
--- a/libs/dispatch/src/dispatcher_placement.cpp
+++ b/libs/dispatch/src/dispatcher_placement.cpp
@@ -330,7 +330,11 @@
     if (answer == order_answer::outranked)
         account->note_outranked();
     auto const found = account->runs().find(order.run);
-    if (answer != order_answer::accepted || found == account->runs().end())
+    if (found == account->runs().end())
+        return;
+    if (answer == order_answer::unanswered)
+        stop_run(*account, order.run, now);
+    if (answer != order_answer::accepted)
         return;
     account->note_answer(now);
     found->second.stop_confirmed = now;
--- a/libs/dispatch/src/endpoint_account.cpp
+++ b/libs/dispatch/src/endpoint_account.cpp
@@ -165,7 +165,9 @@
 
 bool endpoint_account::is_over(placed_run const& run, time_point sent) const
 {
-    if (run.stop_confirmed && *run.stop_confirmed + limits_.stop_time < sent)
+    // A run that is being stopped is listed until its end is, and one that is
+    // not there yet is refused from the stop on.
+    if (run.stop_confirmed && *run.stop_confirmed <= sent)
         return true;
     switch (run.phase)
     {
--- a/libs/dispatch/tests/dispatcher_test.cpp
+++ b/libs/dispatch/tests/dispatcher_test.cpp
@@ -414,3 +414,38 @@
     CHECK(finished[0].id == "c");
     CHECK(finished[0].result.reason == end_reason::overloaded);
 }
+
+TEST_CASE("a start that got lost is repeated as soon as its stop is confirmed")
+{
+    bench b(1);
+    b.tested.submit(make_spec("a", 1), "home", b.now);
+    auto const lost = b.tested.take_starts();
+    REQUIRE(lost.size() == 1);
+    b.now += milliseconds(25);
+    b.tested.start_answered(lost[0], order_answer::unanswered, std::nullopt,
+                            b.now);
+    CHECK(b.tested.take_starts().empty());
+    b.now += milliseconds(1);
+    b.carry_out();
+    b.now += milliseconds(1);
+    b.read_all();
+    auto const again = b.tested.take_starts();
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].run.number > lost[0].run.number);
+    // The lost one arrives late.
+    CHECK(b.models.at("e0").start(lost[0], b.clock(), run_time, false) ==
+          order_answer::run_too_old);
+}
+
+TEST_CASE("a stop that got lost is repeated at once")
+{
+    bench b(1);
+    b.tested.submit(make_spec("a", 1), "home", b.now);
+    b.carry_out();
+    b.tested.withdraw("a", "home", b.now);
+    auto const lost = b.tested.take_stops();
+    REQUIRE(lost.size() == 1);
+    b.now += milliseconds(25);
+    b.tested.stop_answered(lost[0], order_answer::unanswered, b.now);
+    CHECK(b.tested.take_stops().size() == 1);
+}
--- a/libs/gateway/src/cell_host.cpp
+++ b/libs/gateway/src/cell_host.cpp
@@ -35,7 +35,7 @@
 
 dispatch::dispatch_limits limits_of(config::gateway_bounds const& bounds)
 {
-    return {bounds.longest_lease, bounds.stop, bounds.remote_factor};
+    return {bounds.longest_lease, bounds.remote_factor};
 }
 
 } // namespace
--- a/libs/gateway/src/cell_host.hpp
+++ b/libs/gateway/src/cell_host.hpp
@@ -4,6 +4,7 @@
 #include "peer_calls.hpp"
 #include "shared_state.hpp"
 
+#include <dispatch/answer_time.hpp>
 #include <dispatch/cell_layout.hpp>
 #include <dispatch/dispatcher.hpp>
 #include <transport/http_client.hpp>
@@ -89,6 +90,10 @@
 
     static asio::awaitable<void> watch_endpoint(self_ptr self,
                                                 std::string endpoint);
+    /// Calls an endpoint, which may wait for so long before it answers.
+    asio::awaitable<transport::call_result>
+    call_endpoint(std::string endpoint, transport::http_request request,
+                  milliseconds wait);
     asio::awaitable<bool> read_list(std::string endpoint,
                                     dispatch::list_order order);
     void take_list(std::string const& endpoint,
@@ -124,6 +129,9 @@
     bool all_released_ = false;
     /// All endpoints of the cell, also those that may not be taken yet.
     std::map<std::string, dispatch::endpoint_record> records_;
+    /// Endpoints whose last call had no answer.
+    std::set<std::string> silent_;
+    dispatch::answer_time answer_time_;
     /// Wakes the loop that watches an endpoint.
     std::map<std::string, std::shared_ptr<asio::steady_timer>> loops_;
     std::map<job_key, std::shared_ptr<waiting_job>> waiting_;
--- a/libs/gateway/src/endpoint_io.cpp
+++ b/libs/gateway/src/endpoint_io.cpp
@@ -9,13 +9,6 @@
 namespace
 {
 
-/// Endpoints answer orders within a millisecond. An order without an answer is
-/// stopped, which is worth more the earlier it is done.
-constexpr milliseconds order_timeout{150};
-
-/// A list answers when its wait is over, and a millisecond later at most.
-constexpr milliseconds list_timeout{80};
-
 /// Pause between two reads of an endpoint that has nothing to tell, ended by
 /// the first order.
 constexpr milliseconds idle_pause{2'000};
@@ -60,19 +53,45 @@
     }
 }
 
-asio::awaitable<bool> cell_host::read_list(std::string endpoint,
-                                           dispatch::list_order order)
+asio::awaitable<transport::call_result>
+cell_host::call_endpoint(std::string endpoint, transport::http_request request,
+                         milliseconds wait)
 {
     auto const record = records_.find(endpoint);
     if (record == records_.end())
-        co_return false;
+        co_return transport::call_failure{
+            transport::call_stage::not_connected,
+            {result_code::cancelled, "the endpoint is gone"}};
     auto const ip = record->second.ip;
     auto const port = record->second.port;
+    auto const sent = steady_clock::now();
+    auto result = co_await endpoints_.call(ip, port, std::move(request),
+                                           sent + wait + answer_time_.limit());
+    if (result)
+    {
+        silent_.erase(endpoint);
+        // What an answer waited for is no part of its way.
+        if (wait == milliseconds(0))
+            answer_time_.answered(steady_clock::now() - sent);
+        co_return result;
+    }
+    state_.metrics.unanswered.add();
+    if (result.error().stage == transport::call_stage::written &&
+        wait == milliseconds(0))
+        answer_time_.unanswered();
+    // One lost answer says nothing of the other connections.
+    if (!silent_.insert(endpoint).second)
+        endpoints_.drop_kept(ip, port);
+    co_return result;
+}
+
+asio::awaitable<bool> cell_host::read_list(std::string endpoint,
+                                           dispatch::list_order order)
+{
     auto const sent = steady_clock::now();
     state_.metrics.lists.add();
-    auto request = platform::encode_list(order, endpoint);
-    auto const result = co_await endpoints_.call(
-        ip, port, std::move(request), sent + order.wait + list_timeout);
+    auto const result = co_await call_endpoint(
+        endpoint, platform::encode_list(order, endpoint), order.wait);
     if (stopped_)
         co_return false;
     auto answer = dispatch::order_answer::unanswered;
@@ -88,8 +107,6 @@
     else
     {
         answer = answer_of(result.error());
-        state_.metrics.unanswered.add();
-        endpoints_.drop_kept(ip, port);
     }
     dispatcher_->list_failed(endpoint, answer, steady_clock::now());
     flush();
@@ -119,26 +136,14 @@
 asio::awaitable<void> cell_host::send_start(self_ptr self,
                                             dispatch::start_order order)
 {
-    auto const record = self->records_.find(order.endpoint);
-    platform::endpoint_answer answer{dispatch::order_answer::not_sent, {}};
-    if (record != self->records_.end())
-    {
-        auto const ip = record->second.ip;
-        auto const port = record->second.port;
-        auto request = platform::encode_start(order, order.endpoint);
-        auto const result = co_await self->endpoints_.call(
-            ip, port, std::move(request), steady_clock::now() + order_timeout);
-        if (result)
-        {
-            answer = platform::decode_endpoint_answer(*result);
-        }
-        else
-        {
-            answer.answer = answer_of(result.error());
-            self->state_.metrics.unanswered.add();
-            self->endpoints_.drop_kept(ip, port);
-        }
-    }
+    platform::endpoint_answer answer;
+    auto const result = co_await self->call_endpoint(
+        order.endpoint, platform::encode_start(order, order.endpoint),
+        milliseconds(0));
+    if (result)
+        answer = platform::decode_endpoint_answer(*result);
+    else
+        answer.answer = answer_of(result.error());
     if (self->stopped_)
         co_return;
     self->dispatcher_->start_answered(order, answer.answer, answer.clock,
@@ -149,14 +154,9 @@
 asio::awaitable<void> cell_host::send_stop(self_ptr self,
                                            dispatch::stop_order order)
 {
-    auto const record = self->records_.find(order.endpoint);
-    if (record == self->records_.end())
-        co_return;
-    auto const ip = record->second.ip;
-    auto const port = record->second.port;
-    auto request = platform::encode_stop(order, order.endpoint);
-    auto const result = co_await self->endpoints_.call(
-        ip, port, std::move(request), steady_clock::now() + order_timeout);
+    auto const result = co_await self->call_endpoint(
+        order.endpoint, platform::encode_stop(order, order.endpoint),
+        milliseconds(0));
     if (self->stopped_)
         co_return;
     auto const answer = result
