Do not give up a run that was only declared too short

A run was given up once it was late and the declared time of a new run was half of what remained; but that time is off by 40 %, and a new run of the same task takes as long.

A run now counts as slow from 2.5 times its expected time on, beyond what wrong declarations explain. Test: progress_check_test, the first case failed before.

--- a/libs/dispatch/src/progress_check.cpp
+++ b/libs/dispatch/src/progress_check.cpp
@@ -18,6 +18,12 @@
 /// run's: it has to be this much faster.
 constexpr double restart_gain = 2.0;
 
+/// A run that will take this many times as long as expected has a slow endpoint
+/// under it. One that takes less long may just have been declared too short:
+/// declared run times are off by 40 %, and a new run would take as long. This
+/// is beyond two deviations, e^(2 x 0.4).
+constexpr double slow_factor = 2.5;
+
 /// Below this, the rate of progress can't be told from the percentage.
 constexpr int least_percent = 4;
 
@@ -38,9 +44,9 @@
     auto const still = now - std::max(run.progressed, run.confirmed);
     if (still > least_stuck_time && still > run.expected * stuck_factor)
         return progress::stuck;
-    auto const overdue = now - run.confirmed > run.expected;
     auto const remaining = remaining_time(run, now);
-    if (overdue && run.percent >= least_percent &&
+    auto const whole = now - run.confirmed + remaining;
+    if (whole > run.expected * slow_factor && run.percent >= least_percent &&
         std::chrono::duration_cast<duration>(restart * restart_gain) <
             remaining)
         return progress::slow;
