Test a gateway's state and lost orders over real sockets

Two cases of gateway_test: the state on the metrics address names cells, counts endpoints by link and gives the reason of lost trust; of 30 jobs with 15 % of the orders lost at least 27 are completed and no task runs twice at once. The same with orders that were waited for 150 ms was not tried.

--- a/libs/gateway/tests/deployment.hpp
+++ b/libs/gateway/tests/deployment.hpp
@@ -58,6 +58,7 @@
         settings.gateway.caller_address = made.ports[0].address();
         settings.gateway.ready_address = made.ports[1].address();
         settings.gateway.peer_address = made.ports[2].address();
+        settings.gateway.metrics_address = made.ports[3].address();
         settings.gateway.processors = processors;
         settings.store_address = {"127.0.0.1", platform_.store_port()};
         gateways_.push_back(nullptr);
@@ -116,6 +117,15 @@
         return false;
     }
 
+    /// An answer that a caller waits for. Status 0: none yet, 1: the call
+    /// failed.
+    struct pending
+    {
+        unsigned status = 0;
+        std::string body;
+        std::string retry_after;
+    };
+
     unsigned status_of(std::size_t number)
     {
         transport::http_request request;
@@ -124,14 +134,14 @@
             .status;
     }
 
-    /// An answer that a caller waits for. Status 0: none yet, 1: the call
-    /// failed.
-    struct pending
+    /// What operators are told of a gateway's state.
+    std::string state_of(std::size_t number)
     {
-        unsigned status = 0;
-        std::string body;
-        std::string retry_after;
-    };
+        transport::http_request request;
+        request.target = "/status";
+        return call(members_[number].settings.gateway.metrics_address, request)
+            .body;
+    }
 
     std::shared_ptr<pending> submit(std::size_t number, unsigned id,
                                     int tasks = 2,
@@ -160,7 +170,7 @@
     struct member
     {
         config::gateway_settings settings;
-        std::array<test_support::reserved_port, 3> ports;
+        std::array<test_support::reserved_port, 4> ports;
         bool stopped = false;
     };
 
--- a/libs/gateway/tests/gateway_test.cpp
+++ b/libs/gateway/tests/gateway_test.cpp
@@ -222,3 +222,31 @@
     CHECK(completed(jobs) >= 28);
     CHECK(world.platform().findings().doubled.empty());
 }
+
+TEST_CASE("the state tells of cells, endpoints and why they lost trust")
+{
+    deployment world;
+    world.add_endpoints("north", 2);
+    world.add_gateway("north", 0.25);
+    REQUIRE(world.run_until_ready(0));
+    CHECK(world.state_of(0).find(R"("cell":"north/0/1")") != std::string::npos);
+    world.platform().faults().failed_runs = 100;
+    REQUIRE(answered(world, submit_many(world, 1, 900, 4)));
+    auto const state = world.state_of(0);
+    CHECK(state.find(R"("by_link":{"active":2})") != std::string::npos);
+    CHECK(state.find(R"("last_failure":"run_failed")") != std::string::npos);
+}
+
+TEST_CASE("jobs are completed although orders get lost")
+{
+    deployment world;
+    world.add_endpoints("north", 4);
+    world.add_gateway("north", 0.25);
+    REQUIRE(world.run_until_ready(0));
+    REQUIRE(answered(world, submit_many(world, 1, 1'000, 20)));
+    world.platform().faults().lost_orders = 15;
+    auto const jobs = submit_many(world, 1, 1'100, 30);
+    REQUIRE(answered(world, jobs));
+    CHECK(completed(jobs) >= 27);
+    CHECK(world.platform().findings().doubled.empty());
+}
