Read the endpoints' state once for each answer; one size of a stand-in's task

From the last reading of the change: the state on the metrics address computed the rows of all endpoints twice, once to count them, and the stand-in's task size stood in two files.

--- a/libs/gateway/src/status_text.cpp
+++ b/libs/gateway/src/status_text.cpp
@@ -3,6 +3,7 @@
 #include <boost/json.hpp>
 
 #include <map>
+#include <vector>
 
 namespace masticshift::gateway
 {
@@ -25,10 +26,12 @@
     return rows;
 }
 
-json::array endpoint_rows(cell_host const& cell, time_point now)
+using endpoint_list = std::vector<dispatch::endpoint_status>;
+
+json::array endpoint_rows(endpoint_list const& endpoints)
 {
     json::array rows;
-    for (auto const& each : cell.dispatcher().status(now))
+    for (auto const& each : endpoints)
         rows.push_back({{"endpoint", each.id},
                         {"link", each.link},
                         {"trust", each.trust},
@@ -41,11 +44,11 @@
 }
 
 /// Number of endpoints by the state of their link and by trust.
-json::object endpoint_counts(cell_host const& cell, time_point now)
+json::object endpoint_counts(endpoint_list const& endpoints)
 {
     std::map<std::string, int> links;
     std::map<std::string, int> trusts;
-    for (auto const& each : cell.dispatcher().status(now))
+    for (auto const& each : endpoints)
     {
         ++links[std::string(each.link)];
         ++trusts[std::string(each.trust)];
@@ -56,13 +59,14 @@
 
 json::object cell_row(cell_host const& cell, time_point now)
 {
+    auto const endpoints = cell.dispatcher().status(now);
     return {{"retiring", cell.retiring()},
             {"jobs", cell.dispatcher().jobs()},
             {"runs", cell.dispatcher().runs()},
             {"waiting_tasks", cell.dispatcher().waiting_tasks()},
             {"token", cell.dispatcher().token()},
-            {"endpoint_counts", endpoint_counts(cell, now)},
-            {"endpoints", endpoint_rows(cell, now)}};
+            {"endpoint_counts", endpoint_counts(endpoints)},
+            {"endpoints", endpoint_rows(endpoints)}};
 }
 
 } // namespace
--- a/libs/test_support/src/gateway_standin.cpp
+++ b/libs/test_support/src/gateway_standin.cpp
@@ -14,9 +14,6 @@
 /// Endpoints write their rows this often.
 constexpr milliseconds heartbeat{300};
 
-/// Thousandths of a core that a task takes.
-constexpr std::int64_t task_processor = 6'800;
-
 std::int64_t unix_ms()
 {
     auto const now = std::chrono::system_clock::now().time_since_epoch();
--- a/libs/test_support/src/standin_endpoint.cpp
+++ b/libs/test_support/src/standin_endpoint.cpp
@@ -16,9 +16,6 @@
 /// How often a silent endpoint looks whether it answers again.
 constexpr milliseconds silence_poll{300};
 
-/// Thousandths of a core that a task takes.
-constexpr std::int64_t task_processor = 6'800;
-
 std::string task_of(json::object const& body)
 {
     return std::string(body.at("task").as_string());
--- a/libs/test_support/src/standin_endpoint.hpp
+++ b/libs/test_support/src/standin_endpoint.hpp
@@ -13,6 +13,9 @@
 namespace masticshift::test_support
 {
 
+/// Thousandths of a core that a task takes.
+constexpr std::int64_t task_processor = 6'800;
+
 /// What the endpoints of a stand-in share.
 struct endpoint_surroundings
 {
