Heartbeats follow what an entry depends on, not how many entries there are

Cause: with 97 entries an entry sent heartbeats to eight fixed peers and one in turn, counted everybody as dead after 450 ms, and reached each once in 8.8 s.

Change: an entry exchanges heartbeats with the dispatchers of its data centre and those that hold its jobs, with the next successors of each cell, and, if it dispatches, with all dispatchers. Claims are passed on with their age by the dispatchers of a data centre. Silence counts as a failure only for a peer that is watched or sends periodically; a peer never heard of, or silence during the own pause, proves nothing. A dispatcher cancels the jobs of an entry that no longer sends to it; an entry always sends to the dispatchers that hold its jobs. Cells elsewhere are claimed by one data centre at a time. A job of an ended incarnation is refused.

A new dispatcher reads the list of endpoints before it uses them: an idle entry's list was up to 4 s old, so that it could have started work on an endpoint that had left. Idle entries now read it each 15 s.

--- a/libs/dispatch/include/dispatch/endpoint_registry.hpp
+++ b/libs/dispatch/include/dispatch/endpoint_registry.hpp
@@ -48,6 +48,12 @@
     /// Records whether a read of the store succeeded.
     void record_read(bool succeeded, time_point now);
 
+    /// When the last successful read ended.
+    std::optional<time_point> last_read() const
+    {
+        return last_read_;
+    }
+
     /// The changes since the last call.
     registry_changes take_changes(time_point now);
 
@@ -69,6 +75,7 @@
     std::map<std::string, entry> entries_;
     /// Since when all reads have succeeded. Empty: the last one failed.
     std::optional<time_point> readable_since_;
+    std::optional<time_point> last_read_;
 };
 
 } // namespace masticshift::dispatch
--- a/libs/dispatch/include/dispatch/peer_roster.hpp
+++ b/libs/dispatch/include/dispatch/peer_roster.hpp
@@ -2,6 +2,9 @@
 #define MASTICSHIFT_DISPATCH_PEER_ROSTER_HPP
 
 #include <core/time.hpp>
+#include <dispatch/claim_relay.hpp>
+#include <dispatch/peer_liveness.hpp>
+#include <dispatch/peer_types.hpp>
 
 #include <cstdint>
 #include <map>
@@ -13,70 +16,34 @@
 namespace masticshift::dispatch
 {
 
-/// One incarnation of an entry.
-struct entry_identity
-{
-    /// Address for connections from peers, `IP:PORT`.
-    std::string address;
-    /// Increases with each start of the process.
-    std::int64_t incarnation = 0;
-    std::string data_centre;
-    /// Thousandths of a core that it may use.
-    int processor = 0;
-
-    friend bool operator==(entry_identity const&,
-                           entry_identity const&) = default;
-};
-
-/// An entry's statement that it dispatches a cell.
-struct dispatch_claim
-{
-    std::string cell;
-    std::int64_t token = 0;
-    /// Number of endpoints on which it can place tasks.
-    std::int64_t endpoints = 0;
-    /// Thousandths of a core that are free on these endpoints.
-    std::int64_t free_processor = 0;
-    /// How long all its endpoints together need for the waiting tasks.
-    milliseconds backlog{0};
-    /// It takes no new jobs and hands its endpoints over.
-    bool retiring = false;
-};
-
-/// The claim of a cell's dispatcher, and its address.
-struct cell_dispatcher
-{
-    std::string address;
-    dispatch_claim claim;
-};
-
-/// The message that entries exchange several times a second.
-struct entry_heartbeat
-{
-    entry_identity sender;
-    bool leaving = false;
-    std::vector<dispatch_claim> claims;
-    std::int64_t configuration_version = 0;
-    std::int64_t highest_token = 0;
-    std::vector<entry_identity> known;
-};
-
 /// Tracks which entries are alive and which cells they dispatch, and decides
 /// which cells this entry should claim or retire from.
 ///
 /// There is no consensus among entries. Two of them may dispatch one cell for a
 /// while: endpoints reject the lower token, and one of the two retires as soon
 /// as it receives the other's heartbeat.
+///
+/// An entry exchanges heartbeats with those that it depends on: the dispatchers
+/// of its data centre and those that hold its jobs, and the entries that may
+/// have to claim a cell before it. It learns of the other dispatchers from the
+/// claims that the dispatchers of its data centre pass on. The number of its
+/// heartbeats grows with the number of cells, not with that of entries.
 class peer_roster
 {
 public:
     peer_roster(entry_identity self, time_point started);
 
-    /// Adds an address at which an entry may be running.
-    void add_candidate(std::string const& address);
+    /// Adds an address at which an entry may be running. `data_centre` is empty
+    /// if it is not known.
+    void add_candidate(std::string const& address,
+                       std::string const& data_centre = {});
 
     void record_heartbeat(entry_heartbeat const& heartbeat, time_point now);
 
+    /// Records a job that a peer has sent. Returns false if that incarnation of
+    /// the peer has ended, so that nobody waits for the job.
+    bool record_job_from(entry_identity const& origin, time_point now);
+
     /// Records that nothing listens at this address: a peer there is dead.
     void record_connection_refused(std::string const& address);
 
@@ -86,8 +53,18 @@
     /// Records that the list of entries was read from the store.
     void record_directory_read();
 
+    /// Records that a job of this entry was sent to a dispatcher, which must be
+    /// able to notice within half a second when this entry dies.
+    void begin_job_at(std::string const& address);
+
+    /// Records the end of a job that `begin_job_at` has recorded.
+    void end_job_at(std::string const& address, time_point now);
+
     bool is_alive(std::string const& address, time_point now) const;
 
+    /// Whether this incarnation has sent anything lately.
+    bool is_alive(entry_identity const& entry, time_point now) const;
+
     /// Incarnations that have ended since the last call: dead peers, and those
     /// replaced by a new incarnation.
     std::vector<entry_identity> take_ended_entries(time_point now);
@@ -142,7 +119,13 @@
     void set_leaving();
     void set_configuration_version(std::int64_t version);
 
-    entry_heartbeat own_heartbeat(time_point now) const;
+    /// The next heartbeat to this address.
+    entry_heartbeat heartbeat_to(std::string const& address,
+                                 time_point now) const;
+
+    /// The response to a heartbeat that was just recorded.
+    entry_heartbeat response_to(entry_heartbeat const& heartbeat,
+                                time_point now) const;
 
     entry_identity const& self() const
     {
@@ -158,29 +141,73 @@
     /// Another live entry that is not leaving, in turn with each call.
     std::optional<std::string> next_live_peer(time_point now);
 
+    /// Number of entries that heartbeats were received from lately.
     std::size_t alive_count(time_point now) const;
 
 private:
-    struct peer
+    using peer = peer_liveness::peer;
+
+    /// A job of this entry is open at a dispatcher, or was until lately.
+    struct dependency
+    {
+        std::size_t open_jobs = 0;
+        time_point last_used{};
+    };
+
+    /// A cell that this entry has been asked about.
+    struct cell_state
     {
-        entry_heartbeat heartbeat;
-        time_point last_received{};
-        /// Since when it has been alive without interruption.
-        time_point alive_since{};
-        bool ended = false;
+        std::string data_centre;
+        /// Time of the last question about it.
+        time_point asked{};
+        /// Since when it has had no dispatcher.
+        std::optional<time_point> orphaned_since;
+        /// Since when all probes of it have succeeded.
+        std::optional<time_point> reachable_since;
     };
 
-    bool is_alive(peer const& known, time_point now) const;
     bool discovery_done(time_point now) const;
+    std::set<std::string> const& discovery_targets() const;
+    std::set<std::string> choose_discovery_targets() const;
+    std::set<std::string> periodic_targets(time_point now);
+    void add_dispatchers(std::set<std::string>& chosen, time_point now) const;
+    void add_dependencies(std::set<std::string>& chosen, time_point now);
+    void add_successors(std::set<std::string>& chosen, time_point now);
+    void add_overdue(std::set<std::string>& chosen, time_point now) const;
+    void fill_targets(std::set<std::string>& chosen, time_point now) const;
+    void choose_announced(time_point now);
+    void add_of_orphaned_cells(std::vector<std::string>& chosen) const;
+    void add_in_turn(std::vector<std::string>& chosen,
+                     std::set<std::string> const& periodic,
+                     time_point now) const;
+
+    /// Live or possibly live entries of this data centre that claim the cell
+    /// before other entries do, in this order. Without this entry.
+    std::vector<peer const*> successors(std::string const& cell,
+                                        time_point now) const;
+    bool is_first_successor(std::string const& cell, time_point now) const;
     bool has_stable_entry(std::string const& data_centre, time_point now) const;
+
+    /// Calls `function(holder, claim)` for the claims of other entries, of
+    /// which heartbeats were received lately or passed on.
     template <class Function>
     void for_each_claim(time_point now, Function const& function) const;
     dispatch_claim const* own_claim(std::string const& cell) const;
-    /// Since when the cell has had no dispatcher, or nothing if it has one.
-    std::optional<time_point> orphaned_since(std::string const& cell,
-                                             time_point now);
-    bool may_claim_foreign(std::string const& cell, time_point orphaned,
+    /// The state of a cell as of now.
+    cell_state& update_cell(std::string const& cell,
+                            std::string const& data_centre, time_point now);
+    bool has_orphaned_cell() const;
+    bool has_orphaned_local_cell() const;
+    bool may_claim_foreign(std::string const& cell, cell_state const& state,
                            time_point now) const;
+    /// How many data centres come before this one in claiming a cell of another
+    /// data centre.
+    std::size_t data_centres_before(std::string const& cell,
+                                    std::string const& data_centre,
+                                    time_point now) const;
+    entry_heartbeat own_heartbeat(time_point now) const;
+    std::vector<relayed_claim> claims_to_relay(std::string const& receiver,
+                                               time_point now) const;
 
     entry_identity self_;
     time_point started_;
@@ -189,19 +216,46 @@
     std::int64_t configuration_version_ = 0;
     std::int64_t highest_token_ = 0;
     std::int64_t token_step_ = 1;
-    std::map<std::string, peer> peers_;
-    std::set<std::string> candidates_;
-    std::vector<entry_identity> ended_;
+    peer_liveness liveness_;
+    claim_relay relay_;
+    /// By address: the data centre, or an empty string.
+    std::map<std::string, std::string> candidates_;
+    /// Receivers of the heartbeats of discovery. Empty after a candidate was
+    /// added, until it is needed.
+    mutable std::optional<std::set<std::string>> discovery_targets_;
+    /// Receivers of a heartbeat in every interval.
+    std::set<std::string> periodic_;
+    /// By address of the dispatcher.
+    std::map<std::string, dependency> dependencies_;
+    std::map<std::string, cell_state> cells_;
     /// Addresses that have sent a heartbeat or have left one unanswered.
     std::set<std::string> tried_;
     bool directory_read_ = false;
-    /// Since when a cell has had no dispatcher.
-    std::map<std::string, time_point> orphaned_since_;
-    /// Since when all probes of a cell have succeeded.
-    std::map<std::string, time_point> reachable_since_;
     std::size_t rotation_ = 0;
+    /// The peer that the next heartbeats tell others of.
+    std::string announced_;
 };
 
+template <class Function>
+void peer_roster::for_each_claim(time_point now, Function const& function) const
+{
+    for (auto const& address : liveness_.claimants())
+    {
+        auto const& known = *liveness_.find(address);
+        if (!liveness_.is_alive(known, now))
+            continue;
+        for (auto const& claim : known.heartbeat.claims)
+            function(known.heartbeat.sender, claim);
+    }
+    relay_.for_each(liveness_, now,
+                    [&](entry_identity const& holder,
+                        dispatch_claim const& claim, time_point)
+                    {
+                        if (holder.address != self_.address)
+                            function(holder, claim);
+                    });
+}
+
 } // namespace masticshift::dispatch
 
 #endif
--- /dev/null
+++ b/libs/dispatch/include/dispatch/peer_types.hpp
@@ -0,0 +1,78 @@
+#ifndef MASTICSHIFT_DISPATCH_PEER_TYPES_HPP
+#define MASTICSHIFT_DISPATCH_PEER_TYPES_HPP
+
+#include <core/time.hpp>
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace masticshift::dispatch
+{
+
+/// One incarnation of an entry.
+struct entry_identity
+{
+    /// Address for connections from peers, `IP:PORT`.
+    std::string address;
+    /// Increases with each start of the process.
+    std::int64_t incarnation = 0;
+    std::string data_centre;
+    /// Thousandths of a core that it may use.
+    int processor = 0;
+
+    friend bool operator==(entry_identity const&,
+                           entry_identity const&) = default;
+};
+
+/// An entry's statement that it dispatches a cell.
+struct dispatch_claim
+{
+    std::string cell;
+    std::int64_t token = 0;
+    /// Number of endpoints on which it can place tasks.
+    std::int64_t endpoints = 0;
+    /// Thousandths of a core that are free on these endpoints.
+    std::int64_t free_processor = 0;
+    /// How long all its endpoints together need for the waiting tasks.
+    milliseconds backlog{0};
+    /// It takes no new jobs and hands its endpoints over.
+    bool retiring = false;
+};
+
+/// The claim of a cell's dispatcher, and its address.
+struct cell_dispatcher
+{
+    std::string address;
+    dispatch_claim claim;
+};
+
+/// The claim of an entry, passed on by another one.
+struct relayed_claim
+{
+    entry_identity holder;
+    dispatch_claim claim;
+    /// Time since the holder sent it.
+    milliseconds age{0};
+};
+
+/// The message that entries exchange several times a second.
+struct entry_heartbeat
+{
+    entry_identity sender;
+    bool leaving = false;
+    std::vector<dispatch_claim> claims;
+    std::int64_t configuration_version = 0;
+    std::int64_t highest_token = 0;
+    std::vector<entry_identity> known;
+    /// The sender sends the next heartbeat to the same receiver after one
+    /// interval, so that the receiver may take silence for a failure.
+    bool is_periodic = false;
+    /// The response should contain the claims of other entries.
+    bool wants_claims = false;
+    std::vector<relayed_claim> relayed;
+};
+
+} // namespace masticshift::dispatch
+
+#endif
--- a/libs/dispatch/src/endpoint_registry.cpp
+++ b/libs/dispatch/src/endpoint_registry.cpp
@@ -64,6 +64,8 @@
 
 void endpoint_registry::record_read(bool succeeded, time_point now)
 {
+    if (succeeded)
+        last_read_ = now;
     if (!succeeded)
         readable_since_.reset();
     else if (!readable_since_)
--- a/libs/dispatch/src/peer_roster.cpp
+++ b/libs/dispatch/src/peer_roster.cpp
@@ -1,6 +1,6 @@
 #include <dispatch/peer_roster.hpp>
 
-#include "stable_hash.hpp"
+#include "entry_rank.hpp"
 
 #include <algorithm>
 #include <tuple>
@@ -12,23 +12,15 @@
 namespace
 {
 
-/// A peer without a heartbeat for this long counts as dead. Four heartbeat
-/// intervals, so that three heartbeats may be lost; and short enough to stop
-/// the runs of its jobs before callers resend these after 1,300 ms.
-constexpr milliseconds dead_after{450};
-
-/// Time after the start in which an entry claims no cell, so that it learns of
-/// the present dispatchers first: two heartbeat intervals if every candidate
-/// was tried by then, otherwise long enough for hanging connections to fail a
-/// few times.
-constexpr milliseconds short_discovery_time{200};
-constexpr milliseconds discovery_time{1'000};
-
 /// Entries of other data centres claim a cell only after the time that a
 /// process takes to restart, so that the entries of its own data centre can
 /// claim it.
 constexpr milliseconds foreign_claim_delay{1'500};
 
+/// The additional delay for each data centre that comes before this one in
+/// claiming the cell. One of them may be unable to reach the endpoints.
+constexpr milliseconds next_data_centre_delay{1'000};
+
 /// When a network partition between data centres ends, endpoints may be
 /// reachable before the heartbeat of their dispatcher is received. With eight
 /// cells at most, the dispatcher is sent a heartbeat within 800 ms, and it
@@ -39,10 +31,6 @@
 /// for this long.
 constexpr milliseconds stable_after{1'000};
 
-/// Number of live entries that receive each heartbeat: dispatchers, and those
-/// that may succeed them. The others receive heartbeats in rotation.
-constexpr std::size_t fixed_targets = 8;
-
 /// A token consists of an epoch in the high bits and a hash of the entry's
 /// address in the low ones.
 constexpr int entry_bits = 24;
@@ -51,20 +39,9 @@
 /// Epochs count from 2026, so that tokens stay exact as JSON numbers (53 bits).
 constexpr std::int64_t first_epoch_second = 1'767'225'600;
 
-/// Entries with more processor first; ties are broken by a hash that is equal
-/// in all processes.
-auto rank_of(entry_identity const& entry)
-{
-    return std::tuple(-entry.processor, stable_hash(entry.address));
-}
-
-/// The order in which entries claim a cell.
-auto rank_for(std::string const& cell, std::string const& data_centre,
-              entry_identity const& entry,
-              std::vector<dispatch_claim> const& claims)
+milliseconds since(time_point earlier, time_point now)
 {
-    return std::tuple(entry.data_centre != data_centre, !claims.empty(),
-                      -entry.processor, stable_hash(cell + entry.address));
+    return std::chrono::duration_cast<milliseconds>(now - earlier);
 }
 
 } // namespace
@@ -74,10 +51,16 @@
 {
 }
 
-void peer_roster::add_candidate(std::string const& address)
+void peer_roster::add_candidate(std::string const& address,
+                                std::string const& data_centre)
 {
-    if (address != self_.address)
-        candidates_.insert(address);
+    if (address == self_.address)
+        return;
+    auto const [known, added] = candidates_.try_emplace(address, data_centre);
+    if (!added && (data_centre.empty() || known->second == data_centre))
+        return;
+    known->second = data_centre;
+    discovery_targets_.reset();
 }
 
 void peer_roster::record_heartbeat(entry_heartbeat const& heartbeat,
@@ -86,32 +69,31 @@
     auto const& address = heartbeat.sender.address;
     if (address == self_.address)
         return;
-    candidates_.insert(address);
+    add_candidate(address, heartbeat.sender.data_centre);
     for (auto const& known : heartbeat.known)
-        add_candidate(known.address);
+        add_candidate(known.address, known.data_centre);
     highest_token_ = std::max(highest_token_, heartbeat.highest_token);
-    auto& entry = peers_[address];
-    auto const former = entry.heartbeat.sender;
-    if (former.incarnation > heartbeat.sender.incarnation)
+    if (!liveness_.record_heartbeat(heartbeat, now))
         return;
-    if (former.incarnation != 0 &&
-        former.incarnation != heartbeat.sender.incarnation && !entry.ended)
-        ended_.push_back(former);
-    auto const since = is_alive(entry, now) && former.incarnation ==
-                                                   heartbeat.sender.incarnation
-                           ? entry.alive_since
-                           : now;
-    entry = {heartbeat, now, since, false};
+    relay_.record(heartbeat.relayed, now);
     tried_.insert(address);
     for (auto const& claim : heartbeat.claims)
         highest_token_ = std::max(highest_token_, claim.token);
+    for (auto const& each : heartbeat.relayed)
+        highest_token_ = std::max(highest_token_, each.claim.token);
+}
+
+bool peer_roster::record_job_from(entry_identity const& origin, time_point now)
+{
+    if (origin.address == self_.address)
+        return origin.incarnation == self_.incarnation;
+    add_candidate(origin.address, origin.data_centre);
+    return liveness_.record_message(origin, now);
 }
 
 void peer_roster::record_connection_refused(std::string const& address)
 {
-    auto const found = peers_.find(address);
-    if (found != peers_.end())
-        found->second.last_received = {};
+    liveness_.record_connection_refused(address);
 }
 
 void peer_roster::record_unanswered(std::string const& address)
@@ -124,110 +106,55 @@
     directory_read_ = true;
 }
 
-bool peer_roster::discovery_done(time_point now) const
+void peer_roster::begin_job_at(std::string const& address)
 {
-    if (now - started_ >= discovery_time)
-        return true;
-    return now - started_ >= short_discovery_time && directory_read_ &&
-           std::ranges::includes(tried_, candidates_);
+    ++dependencies_[address].open_jobs;
+}
+
+void peer_roster::end_job_at(std::string const& address, time_point now)
+{
+    auto const found = dependencies_.find(address);
+    if (found == dependencies_.end() || found->second.open_jobs == 0)
+        return;
+    --found->second.open_jobs;
+    found->second.last_used = now;
 }
 
 bool peer_roster::has_stable_entry(std::string const& data_centre,
                                    time_point now) const
 {
     return std::ranges::any_of(
-        peers_,
+        liveness_.peers(),
         [&](auto const& each)
         {
             auto const& known = each.second;
             return known.heartbeat.sender.data_centre == data_centre &&
-                   !known.heartbeat.leaving && is_alive(known, now) &&
+                   !known.heartbeat.leaving && liveness_.is_alive(known, now) &&
                    now - known.alive_since >= stable_after;
         });
 }
 
-bool peer_roster::is_alive(peer const& known, time_point now) const
-{
-    return known.last_received != time_point{} &&
-           now - known.last_received <= dead_after;
-}
-
 bool peer_roster::is_alive(std::string const& address, time_point now) const
 {
     if (address == self_.address)
         return true;
-    auto const found = peers_.find(address);
-    return found != peers_.end() && is_alive(found->second, now);
+    auto const* const known = liveness_.find(address);
+    return known != nullptr && liveness_.is_alive(*known, now);
 }
 
-std::vector<entry_identity> peer_roster::take_ended_entries(time_point now)
+bool peer_roster::is_alive(entry_identity const& entry, time_point now) const
 {
-    for (auto& [address, known] : peers_)
-    {
-        if (known.ended || is_alive(known, now))
-            continue;
-        known.ended = true;
-        ended_.push_back(known.heartbeat.sender);
-    }
-    return std::exchange(ended_, {});
-}
-
-std::vector<std::string> peer_roster::targets(time_point now)
-{
-    std::vector<peer const*> alive;
-    std::vector<std::string> unresponsive;
-    std::vector<std::string> unresponsive_dispatchers;
-    for (auto const& address : candidates_)
-    {
-        auto const found = peers_.find(address);
-        if (found != peers_.end() && is_alive(found->second, now))
-        {
-            alive.push_back(&found->second);
-            continue;
-        }
-        unresponsive.push_back(address);
-        if (found != peers_.end() && !found->second.heartbeat.claims.empty())
-            unresponsive_dispatchers.push_back(address);
-    }
-    std::ranges::sort(alive, {},
-                      [](peer const* each)
-                      {
-                          return std::tuple(each->heartbeat.claims.empty(),
-                                            rank_of(each->heartbeat.sender));
-                      });
-    if (!discovery_done(now))
-        return {candidates_.begin(), candidates_.end()};
-    std::vector<std::string> chosen;
-    for (std::size_t i = 0; i < std::min(alive.size(), fixed_targets); ++i)
-        chosen.push_back(alive[i]->heartbeat.sender.address);
-    ++rotation_;
-    if (alive.size() > fixed_targets)
-    {
-        auto const rest = alive.size() - fixed_targets;
-        chosen.push_back(
-            alive[fixed_targets + rotation_ % rest]->heartbeat.sender.address);
-    }
-    if (!unresponsive.empty())
-        chosen.push_back(unresponsive[rotation_ % unresponsive.size()]);
-    // After a network partition, contact with the dispatchers on the other side
-    // has to be restored first.
-    if (!unresponsive_dispatchers.empty())
-        chosen.push_back(
-            unresponsive_dispatchers[rotation_ %
-                                     unresponsive_dispatchers.size()]);
-    return chosen;
+    if (entry.address == self_.address)
+        return entry.incarnation == self_.incarnation;
+    auto const* const known = liveness_.find(entry.address);
+    return known != nullptr && liveness_.is_alive(*known, now) &&
+           known->heartbeat.sender.incarnation == entry.incarnation;
 }
 
-template <class Function>
-void peer_roster::for_each_claim(time_point now, Function const& function) const
+std::vector<entry_identity> peer_roster::take_ended_entries(time_point now)
 {
-    for (auto const& [address, known] : peers_)
-    {
-        if (!is_alive(known, now))
-            continue;
-        for (auto const& claim : known.heartbeat.claims)
-            function(known.heartbeat.sender, claim);
-    }
+    liveness_.observe(now);
+    return liveness_.take_ended(now);
 }
 
 dispatch_claim const* peer_roster::own_claim(std::string const& cell) const
@@ -261,12 +188,21 @@
 std::optional<std::string> peer_roster::dispatcher_of(std::string const& cell,
                                                       time_point now) const
 {
-    for (auto const& each : dispatchers(now))
+    std::optional<std::string> found;
+    std::int64_t highest = 0;
+    auto const consider =
+        [&](entry_identity const& entry, dispatch_claim const& claim)
     {
-        if (each.claim.cell == cell)
-            return each.address;
-    }
-    return std::nullopt;
+        if (claim.retiring || claim.cell != cell ||
+            (found && claim.token <= highest))
+            return;
+        found = entry.address;
+        highest = claim.token;
+    };
+    for (auto const& claim : claims_)
+        consider(self_, claim);
+    for_each_claim(now, consider);
+    return found;
 }
 
 bool peer_roster::is_retiring(std::string const& cell, time_point now) const
@@ -293,64 +229,147 @@
     return found;
 }
 
-std::optional<time_point> peer_roster::orphaned_since(std::string const& cell,
-                                                      time_point now)
+peer_roster::cell_state&
+peer_roster::update_cell(std::string const& cell,
+                         std::string const& data_centre, time_point now)
 {
-    if (own_claim(cell) == nullptr && !dispatcher_of(cell, now))
-        return orphaned_since_.try_emplace(cell, now).first->second;
-    orphaned_since_.erase(cell);
-    reachable_since_.erase(cell);
-    return std::nullopt;
+    auto& state = cells_[cell];
+    state.data_centre = data_centre;
+    state.asked = now;
+    if (own_claim(cell) != nullptr || dispatcher_of(cell, now))
+    {
+        state.orphaned_since.reset();
+        state.reachable_since.reset();
+    }
+    else if (!state.orphaned_since)
+    {
+        state.orphaned_since = now;
+    }
+    return state;
+}
+
+bool peer_roster::has_orphaned_cell() const
+{
+    return std::ranges::any_of(
+        cells_,
+        [](auto const& each)
+        {
+            return each.second.orphaned_since.has_value();
+        });
+}
+
+bool peer_roster::has_orphaned_local_cell() const
+{
+    return std::ranges::any_of(cells_,
+                               [&](auto const& each)
+                               {
+                                   return each.second.orphaned_since &&
+                                          each.second.data_centre ==
+                                              self_.data_centre;
+                               });
 }
 
 bool peer_roster::may_claim_foreign(std::string const& cell,
-                                    time_point orphaned, time_point now) const
+                                    cell_state const& state,
+                                    time_point now) const
 {
-    auto const reachable = reachable_since_.find(cell);
-    if (reachable == reachable_since_.end())
+    if (!state.reachable_since)
         return false;
     // The heartbeats of a retiring dispatcher are received, so it is neither
     // restarting nor behind a network partition, and no delay is needed.
-    return is_retiring(cell, now) ||
-           (now - orphaned >= foreign_claim_delay &&
-            now - reachable->second >= foreign_reach_delay);
+    if (is_retiring(cell, now))
+        return true;
+    auto const delay = foreign_claim_delay +
+                       next_data_centre_delay *
+                           data_centres_before(cell, state.data_centre, now);
+    return now - *state.orphaned_since >= delay &&
+           now - *state.reachable_since >= foreign_reach_delay;
 }
 
 bool peer_roster::should_probe(std::string const& cell,
                                std::string const& data_centre, time_point now)
 {
     return self_.data_centre != data_centre && !leaving_ &&
-           discovery_done(now) && orphaned_since(cell, now);
+           discovery_done(now) &&
+           update_cell(cell, data_centre, now).orphaned_since;
 }
 
 void peer_roster::record_probe(std::string const& cell, bool reachable,
                                time_point now)
 {
-    if (reachable)
-        reachable_since_.try_emplace(cell, now);
-    else
-        reachable_since_.erase(cell);
+    auto& known = cells_[cell];
+    if (!reachable)
+        known.reachable_since.reset();
+    else if (!known.reachable_since)
+        known.reachable_since = now;
+}
+
+std::vector<peer_roster::peer const*>
+peer_roster::successors(std::string const& cell, time_point now) const
+{
+    using rank = decltype(rank_for(cell, self_, claims_));
+    std::vector<std::pair<rank, peer const*>> ranked;
+    for (auto const& [address, known] : liveness_.peers())
+    {
+        auto const& heartbeat = known.heartbeat;
+        if (heartbeat.sender.data_centre == self_.data_centre &&
+            !heartbeat.leaving &&
+            liveness_.state_of(known, now) != peer_state::dead)
+            ranked.emplace_back(
+                rank_for(cell, heartbeat.sender, heartbeat.claims), &known);
+    }
+    std::ranges::sort(ranked);
+    std::vector<peer const*> ordered;
+    ordered.reserve(ranked.size());
+    for (auto const& [ignored, known] : ranked)
+        ordered.push_back(known);
+    return ordered;
+}
+
+bool peer_roster::is_first_successor(std::string const& cell,
+                                     time_point now) const
+{
+    auto const own = rank_for(cell, self_, claims_);
+    return std::ranges::none_of(successors(cell, now),
+                                [&](peer const* each)
+                                {
+                                    return rank_for(
+                                               cell, each->heartbeat.sender,
+                                               each->heartbeat.claims) < own;
+                                });
+}
+
+std::size_t peer_roster::data_centres_before(std::string const& cell,
+                                             std::string const& data_centre,
+                                             time_point now) const
+{
+    std::set<std::string> before;
+    auto const own = stable_hash(cell + self_.data_centre);
+    for_each_claim(
+        now,
+        [&](entry_identity const& holder, dispatch_claim const& claim)
+        {
+            auto const& other = holder.data_centre;
+            if (!claim.retiring && other != data_centre &&
+                other != self_.data_centre && stable_hash(cell + other) < own)
+                before.insert(other);
+        });
+    return before.size();
 }
 
 bool peer_roster::should_claim(std::string const& cell,
                                std::string const& data_centre, time_point now)
 {
-    auto const orphaned = orphaned_since(cell, now);
-    if (!orphaned || leaving_ || !discovery_done(now))
+    auto const& state = update_cell(cell, data_centre, now);
+    // After a pause, other entries may have claimed the cell without this one
+    // having received it.
+    if (!state.orphaned_since || leaving_ || !discovery_done(now) ||
+        liveness_.was_paused(now))
         return false;
     if (self_.data_centre != data_centre &&
-        !may_claim_foreign(cell, *orphaned, now))
+        !may_claim_foreign(cell, state, now))
         return false;
-    auto const own = rank_for(cell, data_centre, self_, claims_);
-    return std::ranges::all_of(
-        peers_,
-        [&](auto const& each)
-        {
-            auto const& heartbeat = each.second.heartbeat;
-            return heartbeat.leaving || !is_alive(each.second, now) ||
-                   own < rank_for(cell, data_centre, heartbeat.sender,
-                                  heartbeat.claims);
-        });
+    return is_first_successor(cell, now);
 }
 
 bool peer_roster::should_retire(std::string const& cell,
@@ -420,21 +439,63 @@
     heartbeat.configuration_version = configuration_version_;
     heartbeat.highest_token = highest_token_;
     // One known entry per heartbeat spreads all addresses within seconds.
-    std::vector<entry_identity> alive;
-    for (auto const& [address, known] : peers_)
+    auto const* const known = liveness_.find(announced_);
+    if (known != nullptr && liveness_.is_alive(*known, now))
+        heartbeat.known.push_back(known->heartbeat.sender);
+    return heartbeat;
+}
+
+entry_heartbeat peer_roster::heartbeat_to(std::string const& address,
+                                          time_point now) const
+{
+    auto heartbeat = own_heartbeat(now);
+    heartbeat.is_periodic = periodic_.contains(address);
+    auto const* const known = liveness_.find(address);
+    bool const local_dispatcher =
+        known != nullptr && !known->heartbeat.claims.empty() &&
+        known->heartbeat.sender.data_centre == self_.data_centre;
+    heartbeat.wants_claims =
+        local_dispatcher || has_orphaned_cell() || !discovery_done(now);
+    return heartbeat;
+}
+
+entry_heartbeat peer_roster::response_to(entry_heartbeat const& heartbeat,
+                                         time_point now) const
+{
+    auto response = own_heartbeat(now);
+    response.is_periodic = periodic_.contains(heartbeat.sender.address);
+    if (heartbeat.wants_claims)
+        response.relayed = claims_to_relay(heartbeat.sender.address, now);
+    return response;
+}
+
+std::vector<relayed_claim>
+peer_roster::claims_to_relay(std::string const& receiver, time_point now) const
+{
+    std::vector<relayed_claim> all;
+    for (auto const& address : liveness_.claimants())
     {
-        if (is_alive(known, now))
-            alive.push_back(known.heartbeat.sender);
+        auto const& known = *liveness_.find(address);
+        if (address == receiver || !liveness_.is_alive(known, now))
+            continue;
+        for (auto const& claim : known.heartbeat.claims)
+            all.push_back({known.heartbeat.sender, claim,
+                           since(known.last_received, now)});
     }
-    if (!alive.empty())
-        heartbeat.known.push_back(alive[rotation_ % alive.size()]);
-    return heartbeat;
+    relay_.for_each(liveness_, now,
+                    [&](entry_identity const& holder,
+                        dispatch_claim const& claim, time_point sent)
+                    {
+                        if (holder.address != receiver)
+                            all.push_back({holder, claim, since(sent, now)});
+                    });
+    return all;
 }
 
 std::int64_t peer_roster::newest_configuration() const
 {
     auto newest = configuration_version_;
-    for (auto const& [address, known] : peers_)
+    for (auto const& [address, known] : liveness_.peers())
         newest = std::max(newest, known.heartbeat.configuration_version);
     return newest;
 }
@@ -442,9 +503,9 @@
 std::optional<std::string>
 peer_roster::peer_with_configuration(std::int64_t version, time_point now) const
 {
-    for (auto const& [address, known] : peers_)
+    for (auto const& [address, known] : liveness_.peers())
     {
-        if (is_alive(known, now) &&
+        if (liveness_.is_alive(known, now) &&
             known.heartbeat.configuration_version >= version)
             return address;
     }
@@ -454,9 +515,9 @@
 std::optional<std::string> peer_roster::next_live_peer(time_point now)
 {
     std::vector<std::string> alive;
-    for (auto const& [address, known] : peers_)
+    for (auto const& [address, known] : liveness_.peers())
     {
-        if (is_alive(known, now) && !known.heartbeat.leaving)
+        if (liveness_.is_alive(known, now) && !known.heartbeat.leaving)
             alive.push_back(address);
     }
     if (alive.empty())
@@ -467,10 +528,10 @@
 std::size_t peer_roster::alive_count(time_point now) const
 {
     return static_cast<std::size_t>(
-        std::ranges::count_if(peers_,
+        std::ranges::count_if(liveness_.peers(),
                               [&](auto const& each)
                               {
-                                  return is_alive(each.second, now);
+                                  return liveness_.is_alive(each.second, now);
                               }));
 }
 
--- a/libs/dispatch/tests/peer_roster_test.cpp
+++ b/libs/dispatch/tests/peer_roster_test.cpp
@@ -38,6 +38,7 @@
 {
     entry_heartbeat heartbeat;
     heartbeat.sender = std::move(sender);
+    heartbeat.is_periodic = true;
     if (claim)
         heartbeat.claims.push_back(*claim);
     return heartbeat;
--- a/libs/gateway/src/cell_manager.cpp
+++ b/libs/gateway/src/cell_manager.cpp
@@ -15,6 +15,9 @@
 constexpr milliseconds busy_tick{10};
 constexpr milliseconds idle_tick{50};
 
+/// How often to look for peers that have ended.
+constexpr milliseconds ended_peers_interval{50};
+
 /// A reachable endpoint responds within a millisecond.
 constexpr milliseconds probe_timeout{200};
 
@@ -26,7 +29,7 @@
     for (;;)
     {
         auto const now = steady_clock::now();
-        cancel_jobs_of_ended_peers(now);
+        log_ended_peers(now);
         apply_registry_changes(now);
         update_roles(now);
         bool busy = false;
@@ -41,16 +44,15 @@
     }
 }
 
-void cell_manager::cancel_jobs_of_ended_peers(time_point now)
+void cell_manager::log_ended_peers(time_point now)
 {
+    if (now - ended_peers_taken_ < ended_peers_interval)
+        return;
+    ended_peers_taken_ = now;
     for (auto const& ended : state_.roster.take_ended_entries(now))
-    {
         log_event(
             log_level::info, "peer_lost",
             {{"peer", ended.address}, {"incarnation", ended.incarnation}});
-        for (auto const& [name, cell] : cells_)
-            cell->cancel_jobs_of_origin(ended, now);
-    }
 }
 
 void cell_manager::apply_registry_changes(time_point now)
@@ -163,6 +165,8 @@
             runner->update_endpoint(record);
     }
     update_claims();
+    if (on_take_over_)
+        on_take_over_();
 }
 
 void cell_manager::stop(time_point now)
--- a/libs/gateway/src/cell_manager.hpp
+++ b/libs/gateway/src/cell_manager.hpp
@@ -3,6 +3,7 @@
 
 #include "cell_runner.hpp"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -22,6 +23,12 @@
 
     asio::awaitable<void> run();
 
+    /// `function` is called when this entry takes over a cell.
+    void on_take_over(std::function<void()> function)
+    {
+        on_take_over_ = std::move(function);
+    }
+
     /// Dispatches a job in a cell and waits until it has ended.
     asio::awaitable<dispatch::job_result>
     run_job(std::string const& cell, dispatch::job_spec job,
@@ -54,7 +61,7 @@
 private:
     void apply_registry_changes(time_point now);
     void update_layout(bool endpoints_changed, time_point now);
-    void cancel_jobs_of_ended_peers(time_point now);
+    void log_ended_peers(time_point now);
     void update_roles(time_point now);
     void take_over(dispatch::cell const& cell);
     /// Calls an endpoint of a cell of another data centre and records whether
@@ -77,6 +84,8 @@
     /// Cells that are being probed.
     std::set<std::string> probing_;
     std::size_t probe_turn_ = 0;
+    time_point ended_peers_taken_{};
+    std::function<void()> on_take_over_;
 };
 
 } // namespace masticshift::gateway
--- a/libs/gateway/src/cell_runner.cpp
+++ b/libs/gateway/src/cell_runner.cpp
@@ -24,6 +24,16 @@
 /// orders with the first one have arrived before the second.
 constexpr milliseconds token_advance_interval{300};
 
+/// An endpoint that was removed or reported that it drains must get no new work
+/// some seconds later, so a new dispatcher needs a list of endpoints that is
+/// not older than this when it begins. While the store does not respond, it
+/// begins with an older list after the limit.
+constexpr milliseconds recent_list_age{1'000};
+constexpr milliseconds recent_list_limit{500};
+
+/// How often to look for jobs whose entry no longer sends heartbeats.
+constexpr milliseconds origin_check_interval{50};
+
 /// How often learnt speeds are sent to a peer. They change slowly.
 constexpr milliseconds speeds_interval{1'000};
 constexpr milliseconds peer_timeout{400};
@@ -67,6 +77,7 @@
         hand_over();
     else
         advance_token(now);
+    cancel_jobs_of_lost_origins(now);
     add_endpoints(now);
     dispatcher_->tick(now);
     flush();
@@ -148,9 +159,17 @@
            !state_.roster.is_retiring(cell_, now);
 }
 
+bool cell_runner::knows_recent_endpoints(time_point now) const
+{
+    auto const read = state_.registry.last_read();
+    return (read && *read >= dispatching_since_ - recent_list_age) ||
+           now - dispatching_since_ > recent_list_limit;
+}
+
 void cell_runner::add_endpoints(time_point now)
 {
-    if (retiring_ || watch_timers_.size() == records_.size())
+    if (retiring_ || watch_timers_.size() == records_.size() ||
+        !knows_recent_endpoints(now))
         return;
     for (auto const& [id, record] : records_)
     {
@@ -260,7 +279,7 @@
                      dispatch::entry_identity origin)
 {
     job_key const key{job.id, origin_name(origin)};
-    auto const waiting = std::make_shared<waiting_job>(self->executor_);
+    auto const waiting = std::make_shared<waiting_job>(self->executor_, origin);
     auto const earlier = self->waiting_.find(key);
     if (earlier != self->waiting_.end())
     {
@@ -283,10 +302,24 @@
     flush();
 }
 
-void cell_runner::cancel_jobs_of_origin(dispatch::entry_identity const& origin,
-                                        time_point now)
+void cell_runner::cancel_jobs_of_lost_origins(time_point now)
 {
-    dispatcher_->cancel_jobs_of_origin(origin_name(origin), now);
+    if (now - origins_checked_ < origin_check_interval)
+        return;
+    origins_checked_ = now;
+    std::set<std::string> lost;
+    for (auto const& [key, job] : waiting_)
+    {
+        if (!job->result && !lost.contains(key.second) &&
+            !state_.roster.is_alive(job->origin, now))
+            lost.insert(key.second);
+    }
+    for (auto const& origin : lost)
+    {
+        log_event(log_level::info, "jobs_of_lost_peer_cancelled",
+                  {{"cell", cell_}, {"peer", origin}});
+        dispatcher_->cancel_jobs_of_origin(origin, now);
+    }
     flush();
 }
 
--- a/libs/gateway/src/cell_runner.hpp
+++ b/libs/gateway/src/cell_runner.hpp
@@ -39,9 +39,6 @@
 
     void withdraw(std::string const& id,
                   dispatch::entry_identity const& origin);
-    void cancel_jobs_of_origin(dispatch::entry_identity const& origin,
-                               time_point now);
-
     void update_endpoint(dispatch::endpoint_record const& record);
     void remove_endpoint(std::string const& id);
 
@@ -74,12 +71,14 @@
 private:
     struct waiting_job
     {
-        explicit waiting_job(asio::any_io_executor const& executor)
-            : ended(executor, time_point::max())
+        waiting_job(asio::any_io_executor const& executor,
+                    dispatch::entry_identity from)
+            : ended(executor, time_point::max()), origin(std::move(from))
         {
         }
 
         asio::steady_timer ended;
+        dispatch::entry_identity origin;
         std::optional<dispatch::job_result> result;
     };
 
@@ -90,6 +89,8 @@
     void advance_token(time_point now);
     void add_endpoints(time_point now);
     bool may_take(std::string const& endpoint, time_point now) const;
+    bool knows_recent_endpoints(time_point now) const;
+    void cancel_jobs_of_lost_origins(time_point now);
 
     static asio::awaitable<void> watch_endpoint(self_ptr self,
                                                 std::string endpoint);
@@ -129,6 +130,7 @@
     time_point retiring_since_{};
     time_point token_advanced_{};
     time_point speeds_shared_{};
+    time_point origins_checked_{};
     std::set<std::string> released_;
     bool all_released_ = false;
     /// All endpoints of the cell, including those that the former dispatcher
--- a/libs/gateway/src/endpoint_watch.cpp
+++ b/libs/gateway/src/endpoint_watch.cpp
@@ -17,13 +17,9 @@
 /// grows with the changes in it, and every endpoint writes its row every 1.5 s.
 constexpr milliseconds dispatching_interval{400};
 
-/// Interval while this entry dispatches no cell. Endpoints are added and
-/// removed seldom, and an entry that takes over a cell reads the changes within
-/// `role_interval`.
-constexpr milliseconds idle_interval{4'000};
-
-/// How often to check whether this entry has started or stopped dispatching.
-constexpr milliseconds role_interval{200};
+/// Interval while this entry dispatches no cell. It then needs only the number
+/// of endpoints, and an entry that takes over a cell reads the table at once.
+constexpr milliseconds idle_interval{15'000};
 
 } // namespace
 
@@ -107,6 +103,7 @@
 
 asio::awaitable<void> endpoint_watch::run()
 {
+    pause_.emplace(co_await asio::this_coro::executor);
     for (;;)
     {
         bool const dispatching = is_dispatching_();
@@ -123,11 +120,20 @@
         state_.registry.record_read(read, steady_clock::now());
         auto const interval =
             dispatching || !read ? dispatching_interval : idle_interval;
-        auto const next = steady_clock::now() + interval;
-        while (steady_clock::now() < next && is_dispatching_() == dispatching)
-            co_await pause(
-                std::min<duration>(role_interval, next - steady_clock::now()));
+        if (!std::exchange(read_requested_, false))
+        {
+            pause_->expires_after(interval);
+            co_await pause_->async_wait(as_values);
+            read_requested_ = false;
+        }
     }
 }
 
+void endpoint_watch::read_now()
+{
+    read_requested_ = true;
+    if (pause_)
+        pause_->cancel();
+}
+
 } // namespace masticshift::gateway
--- a/libs/gateway/src/endpoint_watch.hpp
+++ b/libs/gateway/src/endpoint_watch.hpp
@@ -24,6 +24,9 @@
 
     asio::awaitable<void> run();
 
+    /// Makes `run` read the store at once, as this entry has taken over a cell.
+    void read_now();
+
 private:
     asio::awaitable<bool> read_all();
     asio::awaitable<bool> read_changes();
@@ -40,6 +43,8 @@
     bool full_read_needed_ = true;
     /// Keys of malformed rows, each of which is logged once.
     std::set<std::string> malformed_;
+    std::optional<asio::steady_timer> pause_;
+    bool read_requested_ = false;
 };
 
 } // namespace masticshift::gateway
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -163,6 +163,11 @@
               error_response),
           loops_(executor_, "gateway")
     {
+        cell_manager_.on_take_over(
+            [this]
+            {
+                endpoints_.read_now();
+            });
     }
 
     outcome<void> start(std::function<void()> stopped)
--- a/libs/gateway/src/job_service.cpp
+++ b/libs/gateway/src/job_service.cpp
@@ -210,9 +210,12 @@
     auto content = to_wire(job->job, self);
     content.cell = job->cell;
     auto message = peer_link::make_message(std::move(content));
+    auto const dispatcher = job->dispatcher;
+    state_.roster.begin_job_at(dispatcher);
     auto const result = co_await call_peer(
-        peers_, job->dispatcher, std::move(message),
+        peers_, dispatcher, std::move(message),
         job->accepted + job->job.caller_timeout + answer_margin);
+    state_.roster.end_job_at(dispatcher, steady_clock::now());
     if (result)
         co_return from_wire(result->dispatch_answer);
     if (!result.error().sent)
--- a/libs/gateway/src/peer_exchange.cpp
+++ b/libs/gateway/src/peer_exchange.cpp
@@ -27,6 +27,14 @@
 /// seldom.
 constexpr milliseconds directory_interval{10'000};
 
+wire::message refuse(failure const& reason)
+{
+    wire::refusal refusal;
+    refusal.code = static_cast<int>(reason.code);
+    refusal.detail = reason.detail;
+    return peer_link::make_message(std::move(refusal));
+}
+
 } // namespace
 
 asio::awaitable<void> peer_exchange::run()
@@ -47,8 +55,8 @@
                                                     std::string peer)
 {
     auto const now = steady_clock::now();
-    auto message =
-        peer_link::make_message(to_wire(self.state_.roster.own_heartbeat(now)));
+    auto message = peer_link::make_message(
+        to_wire(self.state_.roster.heartbeat_to(peer, now)));
     auto const result = co_await call_peer(
         self.peers_, peer, std::move(message), now + heartbeat_timeout);
     if (result)
@@ -82,7 +90,7 @@
     for (auto const& row : rows->rows)
     {
         if (config::parse_socket_address(row.key))
-            state_.roster.add_candidate(row.key);
+            state_.roster.add_candidate(row.key, row.value);
     }
     state_.roster.record_directory_read();
     co_return true;
@@ -125,9 +133,10 @@
     {
     case pulse_call:
     {
-        state_.roster.record_heartbeat(from_wire(call.pulse_call), now);
+        auto const heartbeat = from_wire(call.pulse_call);
+        state_.roster.record_heartbeat(heartbeat, now);
         wire::pulse_reply reply;
-        reply.beat = to_wire(state_.roster.own_heartbeat(now));
+        reply.beat = to_wire(state_.roster.response_to(heartbeat, now));
         co_return peer_link::make_message(std::move(reply));
     }
     case dispatch_call:
@@ -155,12 +164,8 @@
         co_return peer_link::make_message(std::move(reply));
     }
     default:
-    {
-        wire::refusal refusal;
-        refusal.code = static_cast<int>(result_code::peer_protocol);
-        refusal.detail = "a gateway does not serve this kind of call";
-        co_return peer_link::make_message(std::move(refusal));
-    }
+        co_return refuse({result_code::peer_protocol,
+                          "a gateway does not serve this kind of call"});
     }
     co_return peer_link::make_message(wire::acknowledgement{});
 }
@@ -172,12 +177,10 @@
     auto const cell = call.cell;
     auto job = from_wire(std::move(call));
     if (!job)
-    {
-        wire::refusal refusal;
-        refusal.code = static_cast<int>(job.error().code);
-        refusal.detail = job.error().detail;
-        co_return peer_link::make_message(std::move(refusal));
-    }
+        co_return refuse(job.error());
+    if (!state_.roster.record_job_from(origin, steady_clock::now()))
+        co_return refuse({result_code::peer_protocol,
+                          "the entry that sent the job has ended"});
     auto const result =
         co_await cell_manager_.run_job(cell, std::move(*job), origin);
     co_return peer_link::make_message(to_wire(result));
--- a/libs/gateway/src/peer_wire.cpp
+++ b/libs/gateway/src/peer_wire.cpp
@@ -49,6 +49,28 @@
     return converted;
 }
 
+wire::dispatch_claim to_wire(dispatch::dispatch_claim const& claim)
+{
+    wire::dispatch_claim converted;
+    converted.cell = claim.cell;
+    converted.token = claim.token;
+    converted.endpoints = claim.endpoints;
+    converted.free_processor = claim.free_processor;
+    converted.retiring = claim.retiring;
+    converted.backlog_ms = claim.backlog.count();
+    return converted;
+}
+
+dispatch::dispatch_claim from_wire(wire::dispatch_claim const& claim)
+{
+    return {claim.cell,
+            claim.token,
+            claim.endpoints,
+            claim.free_processor,
+            milliseconds(claim.backlog_ms),
+            claim.retiring};
+}
+
 } // namespace
 
 wire::entry_record to_wire(dispatch::entry_identity const& entry)
@@ -73,20 +95,21 @@
     converted.sender = to_wire(heartbeat.sender);
     converted.leaving = heartbeat.leaving;
     for (auto const& claim : heartbeat.claims)
-    {
-        wire::dispatch_claim row;
-        row.cell = claim.cell;
-        row.token = claim.token;
-        row.endpoints = claim.endpoints;
-        row.free_processor = claim.free_processor;
-        row.retiring = claim.retiring;
-        row.backlog_ms = claim.backlog.count();
-        converted.claims.push_back(std::move(row));
-    }
+        converted.claims.push_back(to_wire(claim));
     converted.configuration_version = heartbeat.configuration_version;
     converted.highest_token = heartbeat.highest_token;
     for (auto const& entry : heartbeat.known)
         converted.known.push_back(to_wire(entry));
+    converted.is_periodic = heartbeat.is_periodic;
+    converted.wants_claims = heartbeat.wants_claims;
+    for (auto const& each : heartbeat.relayed)
+    {
+        wire::relayed_claim row;
+        row.holder = to_wire(each.holder);
+        row.claim = to_wire(each.claim);
+        row.age_ms = each.age.count();
+        converted.relayed.push_back(std::move(row));
+    }
     return converted;
 }
 
@@ -96,13 +119,17 @@
     converted.sender = from_wire(pulse.sender);
     converted.leaving = pulse.leaving;
     for (auto const& row : pulse.claims)
-        converted.claims.push_back(
-            {row.cell, row.token, row.endpoints, row.free_processor,
-             milliseconds(row.backlog_ms), row.retiring});
+        converted.claims.push_back(from_wire(row));
     converted.configuration_version = pulse.configuration_version;
     converted.highest_token = pulse.highest_token;
     for (auto const& entry : pulse.known)
         converted.known.push_back(from_wire(entry));
+    converted.is_periodic = pulse.is_periodic;
+    converted.wants_claims = pulse.wants_claims;
+    for (auto const& row : pulse.relayed)
+        converted.relayed.push_back({from_wire(row.holder),
+                                     from_wire(row.claim),
+                                     milliseconds(row.age_ms)});
     return converted;
 }
 
--- a/libs/peer_link/idl/masticshift.thrift
+++ b/libs/peer_link/idl/masticshift.thrift
@@ -193,6 +193,14 @@
   6: i64 backlog_ms
 }
 
+// A claim that another entry has sent.
+struct relayed_claim {
+  1: entry_record holder
+  2: dispatch_claim claim
+  // Time since the holder sent it.
+  3: i64 age_ms
+}
+
 // Heartbeat of an entry that serves callers of the platform.
 struct pulse {
   1: entry_record sender
@@ -203,6 +211,11 @@
   5: i64 highest_token
   // Some of the entries that the sender knows.
   6: list<entry_record> known
+  // The sender sends the next one to this receiver after one interval.
+  7: bool is_periodic
+  // The response should contain the claims of other entries.
+  8: bool wants_claims
+  9: list<relayed_claim> relayed
 }
 
 struct pulse_reply {
