Repeat start orders without a response; judge endpoints by what they said

Each lost order raised the response timeout of the whole cell to 150 ms, and a run whose lists were lost counted as stuck.

Change: a start is sent again, with the same run number, up to three times: endpoints start a run once. Lost responses don't raise the timeout of others; it doubles for an endpoint from its second lost one on. Progress is judged at the time of the last list. Lists wait for 20 ms only for a second after a lost call, and are repeated after 10, 20, 40 ms. Each third order without a response in a row costs trust, not each from the third on.

--- a/libs/dispatch/include/dispatch/response_timeout.hpp
+++ b/libs/dispatch/include/dispatch/response_timeout.hpp
@@ -14,12 +14,14 @@
     /// Records a response that took this long.
     void answered(duration taken);
 
-    /// Records an order without a response within the timeout.
-    void unanswered();
-
-    /// The present timeout.
+    /// The timeout after a response. Lost ones don't raise it.
     milliseconds current() const;
 
+    /// The timeout for an endpoint that has not responded to this many calls in
+    /// a row. It doubles from the second one on, as the endpoint may only be
+    /// slow.
+    milliseconds after(unsigned unanswered) const;
+
 private:
     void observe(double taken_ms);
 
--- a/libs/dispatch/include/dispatch/trust_tracker.hpp
+++ b/libs/dispatch/include/dispatch/trust_tracker.hpp
@@ -51,7 +51,7 @@
     void answered();
 
     /// Records an order without a response. Returns true if there were so many
-    /// in a row that they count as a failure.
+    /// in a row since the last failure that they count as another one.
     bool unanswered();
 
     unsigned failures_in_a_row() const;
--- a/libs/dispatch/src/dispatcher_impl.hpp
+++ b/libs/dispatch/src/dispatcher_impl.hpp
@@ -99,6 +99,9 @@
                      time_point now);
     void task_lost(finished_run const& finished, time_point now);
     void requeue_task(job_ptr const& job, std::size_t index, time_point now);
+    /// Reacts to a start order without a response.
+    void start_unanswered(endpoint_account& account, run_key const& key,
+                          placed_run& run, time_point now);
     void discard_start(endpoint_account& account, run_key const& key,
                        time_point now);
     void record_success(endpoint_account& account);
--- a/libs/dispatch/src/dispatcher_placement.cpp
+++ b/libs/dispatch/src/dispatcher_placement.cpp
@@ -24,6 +24,10 @@
 /// which are off by some 40 %.
 constexpr double idle_finish_fraction = 0.75;
 
+/// How often a start order without a response is sent again. A run for which
+/// all of them got none is stopped.
+constexpr int max_start_repeats = 3;
+
 /// Interval at which an unconfirmed stop is sent again. More than ten round
 /// trips.
 constexpr milliseconds stop_resend_interval{100};
@@ -259,6 +263,25 @@
         requeue_task(finished->run.job, finished->run.task, now);
 }
 
+void dispatcher::impl::start_unanswered(endpoint_account& account,
+                                        run_key const& key, placed_run& run,
+                                        time_point now)
+{
+    if (account.health().unanswered())
+        record_failure(account, endpoint_failure::unanswered, now);
+    account.record_call_failure(now);
+    bool const wanted = !run.unwanted && run.job && !run.job->ended;
+    if (!wanted || ++run.unanswered_starts > max_start_repeats ||
+        account.link() != endpoint_link::active)
+    {
+        stop_run(account, key, now);
+        return;
+    }
+    // The endpoint starts a run once, however often it is told to.
+    starts_.push_back({account.record().id, key, run.job->spec.payload,
+                       account.extend_start(run, now), account.token()});
+}
+
 void dispatcher::impl::start_answered(
     start_order const& order, order_response response,
     std::optional<std::int64_t> endpoint_clock, time_point now)
@@ -290,10 +313,7 @@
         }
         return;
     case order_response::unanswered:
-        if (account->health().unanswered())
-            record_failure(*account, endpoint_failure::unanswered, now);
-        account->record_call_failure(now);
-        stop_run(*account, order.run, now);
+        start_unanswered(*account, order.run, run, now);
         return;
     case order_response::outranked:
         account->record_outranked();
@@ -307,8 +327,9 @@
         endpoints_to_poll_.insert(order.endpoint);
         break;
     case order_response::malformed:
-        if (run.job && ++run.job->tasks[run.task].failed_runs >=
-                           run.job->spec.max_attempts)
+        if (run.job && run.unanswered_starts == 0 &&
+            ++run.job->tasks[run.task].failed_runs >=
+                run.job->spec.max_attempts)
         {
             auto const job = run.job;
             discard_start(*account, order.run, now);
@@ -325,7 +346,12 @@
     case order_response::too_late:
         break;
     }
-    discard_start(*account, order.run, now);
+    // An earlier order for the same run, without a response, may have been
+    // carried out, or may be so later.
+    if (run.unanswered_starts > 0)
+        stop_run(*account, order.run, now);
+    else
+        discard_start(*account, order.run, now);
     place(now);
 }
 
--- a/libs/dispatch/src/endpoint_account.cpp
+++ b/libs/dispatch/src/endpoint_account.cpp
@@ -25,8 +25,11 @@
 constexpr milliseconds min_list_wait{40};
 constexpr milliseconds list_wait_margin{15};
 
-/// Wait of a list while a run is being stopped, which does not take long.
-constexpr milliseconds stopping_list_wait{20};
+/// Wait of a list while a run is being stopped, which does not take long, and
+/// for some time after a call without a response. A lost response to a list
+/// that waits is noticed only after the wait, with all ends that it reported.
+constexpr milliseconds short_list_wait{20};
+constexpr milliseconds short_waits_after_failure{1'000};
 
 constexpr std::array link_names{"unread", "active", "silent", "outranked"};
 
@@ -111,6 +114,13 @@
     return until;
 }
 
+std::int64_t endpoint_account::extend_start(placed_run& run, time_point now)
+{
+    run.lease_until = clock_.lease_end(now, limits_.longest_lease);
+    record_lease(run.lease_until);
+    return run.lease_until;
+}
+
 void endpoint_account::record_lease(std::int64_t lease_until)
 {
     last_lease_end_ =
@@ -136,7 +146,7 @@
             return order;
         return std::nullopt;
     }
-    order.wait = stopping_list_wait;
+    order.wait = short_list_wait;
     if (clock_.known() && all_wanted())
     {
         order.wait = wait_for_end(now);
@@ -148,6 +158,11 @@
 
 milliseconds endpoint_account::wait_for_end(time_point now) const
 {
+    bool const failed_lately =
+        last_call_failure_ != time_point{} &&
+        now - last_call_failure_ < short_waits_after_failure;
+    if (failed_lately)
+        return short_list_wait;
     auto wait = max_list_wait;
     for (auto const& [key, run] : runs_)
     {
@@ -199,6 +214,7 @@
         return;
     }
     auto& run = found->second;
+    run.listed = now;
     if (run.phase == run_phase::starting)
     {
         run.phase = run_phase::running;
@@ -254,6 +270,7 @@
 
 void endpoint_account::record_call_failure(time_point now)
 {
+    last_call_failure_ = now;
     if (link_ == endpoint_link::active &&
         now - last_response_ > unresponsive_after)
         link_ = endpoint_link::silent;
--- a/libs/dispatch/src/endpoint_account.hpp
+++ b/libs/dispatch/src/endpoint_account.hpp
@@ -36,13 +36,17 @@
     time_point ordered;
     /// When the endpoint confirmed the start.
     time_point confirmed;
-    /// End of the lease in the start order, by the endpoint's clock. The
+    /// End of the lease in the last start order, by the endpoint's clock. The
     /// endpoint rejects a start order that arrives later.
     std::int64_t lease_until = 0;
+    /// Number of start orders without a response.
+    int unanswered_starts = 0;
     duration expected{0};
     int percent = 0;
     /// Last increase of `percent`.
     time_point progressed;
+    /// When a list that contains the run was last received.
+    time_point listed;
     /// The run is to be stopped.
     bool unwanted = false;
     /// Set when the endpoint has confirmed a stop.
@@ -152,6 +156,9 @@
     /// Adds a new run and returns the end of its lease.
     std::int64_t add_run(run_key const& key, placed_run run, time_point now);
 
+    /// Returns the end of the lease for another start order of this run.
+    std::int64_t extend_start(placed_run& run, time_point now);
+
     /// The next list order, or nothing if none is needed: nothing runs there
     /// and its ends have been acknowledged, or the token was rejected.
     std::optional<list_order> next_list(time_point now);
@@ -209,6 +216,7 @@
     /// All leases given by this process have ended by this time.
     time_point last_lease_end_{};
     time_point last_response_{};
+    time_point last_call_failure_{};
     trust_tracker health_;
 };
 
--- a/libs/dispatch/src/progress_check.cpp
+++ b/libs/dispatch/src/progress_check.cpp
@@ -43,7 +43,7 @@
 
 progress judge_progress(placed_run const& run, duration restart, time_point now)
 {
-    auto const still = now - std::max(run.progressed, run.confirmed);
+    auto const still = run.listed - std::max(run.progressed, run.confirmed);
     if (still > min_stuck_time && still > run.expected * stuck_factor)
         return progress::stuck;
     auto const remaining = remaining_time(run, now);
--- a/libs/dispatch/src/progress_check.hpp
+++ b/libs/dispatch/src/progress_check.hpp
@@ -15,7 +15,8 @@
     stuck
 };
 
-/// Rates a run that the endpoint has confirmed. `restart` is the expected time
+/// Rates a run that the endpoint has confirmed, by its last list: that no list
+/// arrived says nothing about the run. `restart` is the expected time
 /// of a new run on the best endpoint with free capacity, or a very long time if
 /// there is none.
 progress judge_progress(placed_run const& run, duration restart,
--- a/libs/dispatch/src/response_timeout.cpp
+++ b/libs/dispatch/src/response_timeout.cpp
@@ -32,11 +32,6 @@
     observe(to_milliseconds(taken));
 }
 
-void response_timeout::unanswered()
-{
-    observe(static_cast<double>(current().count()));
-}
-
 void response_timeout::observe(double taken_ms)
 {
     if (samples_++ == 0)
@@ -59,4 +54,12 @@
     return std::clamp(estimate, min_timeout, max_timeout);
 }
 
+milliseconds response_timeout::after(unsigned unanswered) const
+{
+    constexpr unsigned most_doublings = 3;
+    auto const doublings =
+        std::min(unanswered - std::min(unanswered, 1U), most_doublings);
+    return std::min(current() * (1 << doublings), max_timeout);
+}
+
 } // namespace masticshift::dispatch
--- a/libs/dispatch/src/trust_tracker.cpp
+++ b/libs/dispatch/src/trust_tracker.cpp
@@ -18,7 +18,8 @@
 constexpr unsigned failures_until_ejection = 2;
 
 /// With faults that lose one order in eighteen, three lost ones in a row occur
-/// once in six thousand.
+/// once in six thousand. With three lost orders in ten, a second failure, which
+/// ejects the endpoint, takes six in a row: once in fourteen hundred.
 constexpr unsigned unanswered_until_failure = 3;
 
 constexpr std::array trust_names{"full", "probation", "ejected"};
@@ -70,7 +71,10 @@
 
 bool trust_tracker::unanswered()
 {
-    return ++unanswered_ >= unanswered_until_failure;
+    if (++unanswered_ < unanswered_until_failure)
+        return false;
+    unanswered_ = 0;
+    return true;
 }
 
 endpoint_failure trust_tracker::last_failure() const
--- a/libs/gateway/src/cell_runner.hpp
+++ b/libs/gateway/src/cell_runner.hpp
@@ -136,8 +136,8 @@
     /// All endpoints of the cell, including those that the former dispatcher
     /// has not released yet.
     std::map<std::string, dispatch::endpoint_record> records_;
-    /// Endpoints that did not respond to the last call.
-    std::set<std::string> unresponsive_;
+    /// By endpoint: calls in a row without a response.
+    std::map<std::string, unsigned> unanswered_;
     dispatch::response_timeout response_timeout_;
     /// By endpoint: the timer that its `watch_endpoint` loop waits on.
     /// Cancelling it wakes the loop.
--- a/libs/gateway/src/endpoint_io.cpp
+++ b/libs/gateway/src/endpoint_io.cpp
@@ -3,6 +3,8 @@
 #include <core/log.hpp>
 #include <platform/run_codec.hpp>
 
+#include <algorithm>
+
 namespace masticshift::gateway
 {
 
@@ -13,9 +15,16 @@
 /// it early when the endpoint has to be polled.
 constexpr milliseconds idle_pause{2'000};
 
-/// Wait after a failed list call, and after each further one in a row.
+/// Wait after a failed list call. It doubles with each further one in a row.
 constexpr milliseconds first_retry_pause{10};
-constexpr milliseconds retry_pause{100};
+constexpr milliseconds longest_retry_pause{100};
+
+milliseconds retry_pause_after(unsigned failures)
+{
+    constexpr unsigned most_doublings = 4;
+    auto const doublings = std::min(failures - 1, most_doublings);
+    return std::min(first_retry_pause * (1 << doublings), longest_retry_pause);
+}
 
 dispatch::order_response response_of(transport::call_failure const& failed)
 {
@@ -46,7 +55,7 @@
                 failures = 0;
                 continue;
             }
-            wait = ++failures == 1 ? first_retry_pause : retry_pause;
+            wait = retry_pause_after(++failures);
         }
         wake->expires_after(wait);
         co_await wake->async_wait(as_values);
@@ -65,24 +74,23 @@
     auto const ip = record->second.ip;
     auto const port = record->second.port;
     auto const sent = steady_clock::now();
-    auto result =
-        co_await endpoints_.call(ip, port, std::move(request),
-                                 sent + wait + response_timeout_.current());
+    auto const lost = unanswered_.find(endpoint);
+    auto const timeout =
+        response_timeout_.after(lost == unanswered_.end() ? 0 : lost->second);
+    auto result = co_await endpoints_.call(ip, port, std::move(request),
+                                           sent + wait + timeout);
     if (result)
     {
-        unresponsive_.erase(endpoint);
+        unanswered_.erase(endpoint);
         // A call with a wait measures the wait, not the response time.
         if (wait == milliseconds(0))
             response_timeout_.answered(steady_clock::now() - sent);
         co_return result;
     }
     state_.metrics.unanswered.add();
-    if (result.error().stage == transport::call_stage::written &&
-        wait == milliseconds(0))
-        response_timeout_.unanswered();
     // One lost response does not show that the other pooled connections are
     // broken; two in a row do.
-    if (!unresponsive_.insert(endpoint).second)
+    if (++unanswered_[endpoint] > 1)
         endpoints_.close_pooled(ip, port);
     co_return result;
 }
--- a/libs/gateway/tests/gateway_test.cpp
+++ b/libs/gateway/tests/gateway_test.cpp
@@ -141,6 +141,10 @@
     REQUIRE(fixture.run_until_ready(1));
     fixture.platform().configure(7, milliseconds(10));
     fixture.run(milliseconds(1'900));
+    CHECK(fixture.status_json(0).find(R"("configuration":7,)") !=
+          std::string::npos);
+    CHECK(fixture.status_json(1).find(R"("configuration":7,)") !=
+          std::string::npos);
     auto const jobs = submit_many(fixture, 2, 1, 2);
     REQUIRE(run_until_answered(fixture, jobs));
     CHECK(completed(jobs) == 2);
