Read endpoints often until the entry's data centre has some

With no endpoint known in its data centre, an entry now reads each 500 ms.

Test: an entry that started before the endpoints dispatches them soon.

--- a/libs/dispatch/include/dispatch/endpoint_registry.hpp
+++ b/libs/dispatch/include/dispatch/endpoint_registry.hpp
@@ -59,6 +59,9 @@
 
     std::vector<endpoint_record> records() const;
 
+    /// Whether any endpoint of this data centre is known.
+    bool has_endpoints_in(std::string const& data_centre) const;
+
     std::size_t size() const
     {
         return entries_.size();
--- a/libs/dispatch/src/endpoint_registry.cpp
+++ b/libs/dispatch/src/endpoint_registry.cpp
@@ -102,4 +102,15 @@
     return all;
 }
 
+bool endpoint_registry::has_endpoints_in(std::string const& data_centre) const
+{
+    return std::ranges::any_of(entries_,
+                               [&](auto const& each)
+                               {
+                                   auto const& record =
+                                       each.second.known.record;
+                                   return record.data_centre == data_centre;
+                               });
+}
+
 } // namespace masticshift::dispatch
--- a/libs/gateway/src/endpoint_watch.cpp
+++ b/libs/gateway/src/endpoint_watch.cpp
@@ -21,6 +21,10 @@
 /// of endpoints, and an entry that takes over a cell reads the table at once.
 constexpr milliseconds idle_interval{15'000};
 
+/// Interval while no endpoint of the data centre is known: its cells can't be
+/// claimed before.
+constexpr milliseconds waiting_interval{500};
+
 } // namespace
 
 std::optional<dispatch::versioned_record>
@@ -101,6 +105,15 @@
     co_return true;
 }
 
+milliseconds endpoint_watch::interval_after(bool read, bool dispatching) const
+{
+    if (dispatching || !read)
+        return dispatching_interval;
+    auto const& data_centre = state_.settings.gateway.data_centre;
+    return state_.registry.has_endpoints_in(data_centre) ? idle_interval
+                                                         : waiting_interval;
+}
+
 asio::awaitable<void> endpoint_watch::run()
 {
     pause_.emplace(co_await asio::this_coro::executor);
@@ -118,8 +131,7 @@
             read = co_await read_changes();
         }
         state_.registry.record_read(read, steady_clock::now());
-        auto const interval =
-            dispatching || !read ? dispatching_interval : idle_interval;
+        auto const interval = interval_after(read, dispatching);
         if (!std::exchange(read_requested_, false))
         {
             pause_->expires_after(interval);
--- a/libs/gateway/src/endpoint_watch.hpp
+++ b/libs/gateway/src/endpoint_watch.hpp
@@ -28,6 +28,8 @@
     void read_now();
 
 private:
+    /// Time until the next read.
+    milliseconds interval_after(bool read, bool dispatching) const;
     asio::awaitable<bool> read_all();
     asio::awaitable<bool> read_changes();
     void apply_row(platform::store_row const& row, time_point now);
--- a/libs/gateway/tests/gateway_test.cpp
+++ b/libs/gateway/tests/gateway_test.cpp
@@ -90,6 +90,20 @@
     CHECK(fixture.platform().findings().starts == 0);
 }
 
+TEST_CASE("an entry that started before the endpoints dispatches them soon")
+{
+    deployment fixture;
+    fixture.add_gateway("north", 0.25);
+    fixture.run(milliseconds(1'500));
+    CHECK(fixture.ready_status(0) == 503);
+    fixture.add_endpoints("north", 2);
+    fixture.run(milliseconds(1'500));
+    CHECK(fixture.ready_status(0) == 200);
+    auto const jobs = submit_many(fixture, 1, 1, 2);
+    REQUIRE(run_until_answered(fixture, jobs));
+    CHECK(completed(jobs) == 2);
+}
+
 TEST_CASE("an entry without a configuration is not ready and refuses jobs")
 {
     deployment fixture;
