--- a/libs/config/src/gateway_settings.cpp
+++ b/libs/config/src/gateway_settings.cpp
@@ -4,7 +4,9 @@
 #include "settings_file.hpp"
 #include "to_outcome.hpp"
 
+#include <algorithm>
 #include <array>
+#include <vector>
 
 namespace masticshift::config
 {
@@ -79,6 +81,29 @@
     return {};
 }
 
+/// Port 0 selects a free port, so it never conflicts.
+read_result check_listen_addresses(toml_table const& root,
+                                   gateway_identity const& own)
+{
+    std::vector<socket_address> taken;
+    for (auto const& address : {own.caller_address, own.ready_address,
+                                own.peer_listen_address, own.metrics_address})
+    {
+        if (address.ip.empty() || address.port == 0)
+            continue;
+        if (std::ranges::find(taken, address) != taken.end())
+        {
+            BOOST_LEAF_AUTO(table, subtable_of(root, "gateway"));
+            return refuse(root.origin, table.line(),
+                          result_code::config_duplicate,
+                          "gateway: two listeners have the address " +
+                              to_string(address));
+        }
+        taken.push_back(address);
+    }
+    return {};
+}
+
 template <class Target, class Rules>
 read_result read_section(toml_table const& root, std::string_view name,
                          Rules const& rules, Target& target)
@@ -105,6 +130,7 @@
     auto& own = settings.gateway;
     if (own.peer_listen_address.ip.empty())
         own.peer_listen_address = own.peer_address;
+    BOOST_LEAF_CHECK(check_listen_addresses(root, own));
     return settings;
 }
 
--- a/libs/config/src/read_value.cpp
+++ b/libs/config/src/read_value.cpp
@@ -123,8 +123,10 @@
     auto const read = value.node->value<double>();
     if (!read || value.node->is_boolean())
         return wrong_type(value, "a number");
-    if (*read < static_cast<double>(rule.minimum) ||
-        *read > static_cast<double>(rule.maximum))
+    // Written so that "nan" is out of range.
+    bool const in_range = *read >= static_cast<double>(rule.minimum) &&
+                          *read <= static_cast<double>(rule.maximum);
+    if (!in_range)
         return out_of_range(value, range_of(rule));
     number = *read;
     return {};
--- a/libs/config/tests/gateway_settings_test.cpp
+++ b/libs/config/tests/gateway_settings_test.cpp
@@ -79,6 +79,20 @@
     CHECK(code_with("900", "1") == result_code::config_out_of_range);
 }
 
+TEST_CASE("numbers that are not numbers and equal listen addresses are refused")
+{
+    std::string text = complete;
+    text.replace(text.find("0.25"), 4, "nan");
+    auto const not_a_number = parse(text);
+    REQUIRE_FALSE(not_a_number.has_value());
+    CHECK(not_a_number.error().code == result_code::config_out_of_range);
+    text = complete;
+    text.replace(text.find("10.0.0.1:81"), 11, "10.0.0.1:80");
+    auto const equal = parse(text);
+    REQUIRE_FALSE(equal.has_value());
+    CHECK(equal.error().code == result_code::config_duplicate);
+}
+
 TEST_CASE("settings with a table [gateway] are those of a gateway")
 {
     CHECK(has_gateway_settings(complete));
--- a/libs/gateway/src/peer_wire.cpp
+++ b/libs/gateway/src/peer_wire.cpp
@@ -8,6 +8,25 @@
 namespace
 {
 
+/// Bounds of the numbers taken from peers. Products of an amount, a number of
+/// tasks and a time stay within 64 bits.
+constexpr std::int64_t largest_amount = 100'000'000;
+constexpr std::int64_t longest_time_ms = 3'600'000;
+constexpr double largest_slack_factor = 1'000;
+
+/// Tokens are exact as JSON numbers, and the next higher one has to be too.
+constexpr std::int64_t largest_token = std::int64_t(1) << 52;
+
+std::int64_t token_from_wire(std::int64_t token)
+{
+    return std::clamp<std::int64_t>(token, 0, largest_token);
+}
+
+milliseconds time_from_wire(std::int64_t ms)
+{
+    return milliseconds(std::clamp<std::int64_t>(ms, 0, longest_time_ms));
+}
+
 wire::dispatch_step to_wire(dispatch::job_step const& step)
 {
     wire::dispatch_step converted;
@@ -28,6 +47,14 @@
     constexpr std::int32_t most_tasks = 4'096;
     if (step.task_count < 1 || step.task_count > most_tasks)
         return false;
+    for (auto const amount :
+         {step.processor, step.memory_mb, step.accelerators})
+    {
+        if (amount < 0 || amount > largest_amount)
+            return false;
+    }
+    if (step.estimate_ms < 0 || step.estimate_ms > longest_time_ms)
+        return false;
     for (auto const earlier : step.after)
     {
         if (earlier < 0 || static_cast<std::size_t>(earlier) >= number)
@@ -63,12 +90,9 @@
 
 dispatch::dispatch_claim from_wire(wire::dispatch_claim const& claim)
 {
-    return {claim.cell,
-            claim.token,
-            claim.endpoints,
-            claim.free_processor,
-            milliseconds(claim.backlog_ms),
-            claim.retiring};
+    return {
+        claim.cell,           token_from_wire(claim.token),     claim.endpoints,
+        claim.free_processor, time_from_wire(claim.backlog_ms), claim.retiring};
 }
 
 } // namespace
@@ -121,7 +145,7 @@
     for (auto const& row : pulse.claims)
         converted.claims.push_back(from_wire(row));
     converted.configuration_version = pulse.configuration_version;
-    converted.highest_token = pulse.highest_token;
+    converted.highest_token = token_from_wire(pulse.highest_token);
     for (auto const& entry : pulse.known)
         converted.known.push_back(from_wire(entry));
     converted.is_periodic = pulse.is_periodic;
@@ -129,7 +153,7 @@
     for (auto const& row : pulse.relayed)
         converted.relayed.push_back({from_wire(row.holder),
                                      from_wire(row.claim),
-                                     milliseconds(row.age_ms)});
+                                     time_from_wire(row.age_ms)});
     return converted;
 }
 
@@ -163,22 +187,25 @@
     {
         if (!is_valid(step, converted.steps.size()))
             return failure{result_code::malformed_request,
-                           "a job step has an invalid task count or depends on "
+                           "a job step has a number out of range or depends on "
                            "a later step"};
         converted.steps.push_back(from_wire(step));
     }
     if (converted.steps.empty() || converted.id.empty())
         return failure{result_code::malformed_request,
                        "the job has no steps or no id"};
+    if (!(job.slack_factor >= 0 && job.slack_factor <= largest_slack_factor))
+        return failure{result_code::malformed_request,
+                       "the job's slack factor is out of range"};
     converted.queue = std::move(job.queue);
     converted.service = std::move(job.service_name);
     converted.priority = job.priority;
     converted.max_attempts = job.max_attempts;
     converted.slack_factor = job.slack_factor;
-    converted.target_latency = milliseconds(job.target_latency_ms);
-    converted.caller_timeout = milliseconds(job.patience_ms);
+    converted.target_latency = time_from_wire(job.target_latency_ms);
+    converted.caller_timeout = time_from_wire(job.patience_ms);
     converted.only_if_idle = job.only_if_idle;
-    converted.age = milliseconds(std::max<std::int64_t>(job.age_ms, 0));
+    converted.age = time_from_wire(job.age_ms);
     return converted;
 }
 
@@ -202,7 +229,7 @@
         converted.end = static_cast<dispatch::job_end>(reply.outcome);
     if (reply.reason >= 0 && reply.reason <= last_reason)
         converted.reason = static_cast<dispatch::end_reason>(reply.reason);
-    converted.retry_after = milliseconds(reply.retry_after_ms);
+    converted.retry_after = time_from_wire(reply.retry_after_ms);
     return converted;
 }
 
