One cell for up to 120 endpoints

The dispatcher's slope, 0.17 ms a start (docs/CAPACITY.md), leaves an entry of half a core at 0.6 of its processor with 18 starts a second for each of 108 endpoints.

Test: the number of cells does not depend on how many endpoints have registered; the sizes of two other cases are scaled with the constant.

--- a/libs/dispatch/src/cell_layout.cpp
+++ b/libs/dispatch/src/cell_layout.cpp
@@ -11,9 +11,10 @@
 namespace
 {
 
-/// An entry with half a core handles some 1,000 starts a second, and an
-/// endpoint of the deployments receives ten.
-constexpr unsigned endpoints_per_cell = 90;
+/// An entry with half a core handles 2,000 starts a second, and an endpoint of
+/// the deployments receives ten, or eighteen in a burst. Fewer and larger cells
+/// leave less capacity unused beside jobs that wait.
+constexpr unsigned endpoints_per_cell = 120;
 
 /// The layout stays while cells are larger than `endpoints_per_cell` by at most
 /// this factor or smaller by at most twice this factor: endpoints that are
