Refuse a job at once when all endpoints of the cell are leaving

Seen in gateway_test: with its only endpoint draining, a cell let jobs wait for 680 ms, until their latest start, and then refused them as overloaded. It was known at once. Tests: the dispatcher's, which failed before, and that an entry which takes over a cell uses no endpoint that left since its last list (fails with a list of any age: 2 starts).

--- a/libs/dispatch/src/dispatcher_jobs.cpp
+++ b/libs/dispatch/src/dispatcher_jobs.cpp
@@ -20,6 +20,10 @@
 constexpr milliseconds min_retry_after{200};
 constexpr milliseconds max_retry_after{5'000};
 
+/// `retry_after` when all endpoints of the cell are leaving: they are replaced
+/// within seconds.
+constexpr milliseconds leaving_retry_after{2'000};
+
 /// How long the ids of completed jobs are kept. Callers resend a job 1.3 s
 /// after a lost answer, and sometimes seconds after an answer that arrived.
 constexpr milliseconds completed_retention{15'000};
@@ -124,6 +128,16 @@
                 return refused(end_reason::never_fits, max_retry_after);
         }
     }
+    bool const all_leave =
+        !accounts_.empty() &&
+        std::ranges::all_of(accounts_,
+                            [](auto const& each)
+                            {
+                                return each.second->record().stage !=
+                                       endpoint_stage::ready;
+                            });
+    if (all_leave)
+        return refused(end_reason::overloaded, leaving_retry_after);
     auto const slack = job.objective - now - chain_time(job.spec);
     auto const wait = estimated_wait(job, slack);
     if (wait > slack && !can_start_all(job, time_point::max(), now))
--- a/libs/dispatch/tests/dispatcher_test.cpp
+++ b/libs/dispatch/tests/dispatcher_test.cpp
@@ -292,6 +292,24 @@
     CHECK(f.tested.take_starts().size() == 1);
 }
 
+TEST_CASE("a job is refused at once if all endpoints are leaving")
+{
+    fixture f(2);
+    for (auto const* const id : {"e0", "e1"})
+    {
+        auto record = make_endpoint(id);
+        record.stage = endpoint_stage::draining;
+        f.tested.update_endpoint(record);
+    }
+    f.tested.submit(make_spec("a", 1), "home", f.now);
+    auto const finished = f.tested.take_finished();
+    REQUIRE(finished.size() == 1);
+    CHECK(finished[0].result.end == job_end::refused);
+    CHECK(finished[0].result.reason == end_reason::overloaded);
+    CHECK(finished[0].result.retry_after > milliseconds(0));
+    CHECK(f.tested.take_starts().empty());
+}
+
 TEST_CASE("a job that would wait too long is refused early and does not run")
 {
     fixture f(1);
--- a/libs/dispatch/tests/load_model.hpp
+++ b/libs/dispatch/tests/load_model.hpp
@@ -370,20 +370,17 @@
             return;
         auto const reason = ended.result.reason;
         auto const& cell = cells_[job->second.cell].name;
-        if (ended.result.end != job_end::refused)
-            end(ended.id, ended.result.end);
-        else if (reason == end_reason::busy_cell)
-        {
-            job->second.tried.busy.insert(cell);
-            route(ended.id);
-        }
+        auto& tried = job->second.tried;
+        if (reason == end_reason::busy_cell)
+            tried.busy.insert(cell);
         else if (reason == end_reason::overloaded)
-        {
-            job->second.tried.overloaded.insert(cell);
-            route(ended.id);
-        }
+            tried.overloaded.insert(cell);
         else
+        {
             end(ended.id, ended.result.end);
+            return;
+        }
+        route(ended.id);
     }
 
     void flush(std::size_t number)
--- a/libs/gateway/tests/gateway_test.cpp
+++ b/libs/gateway/tests/gateway_test.cpp
@@ -164,6 +164,33 @@
     CHECK(completed(jobs) == 2);
 }
 
+TEST_CASE("an entry that takes over a cell uses no endpoint that left since it "
+          "last read the list")
+{
+    deployment fixture;
+    fixture.add_endpoints("north", 1);
+    fixture.add_gateway("north", 0.5);
+    fixture.add_gateway("north", 0.25);
+    REQUIRE(fixture.run_until_ready(0));
+    REQUIRE(fixture.run_until_ready(1));
+    // Entry 1 has read the list, and does so again much later.
+    fixture.run(milliseconds(1'500));
+    fixture.platform().drain_endpoint("north0");
+    fixture.run(milliseconds(500));
+    auto const before = fixture.platform().findings().starts;
+    fixture.at(0).drain();
+    std::vector<std::shared_ptr<deployment::pending_answer>> jobs;
+    for (unsigned i = 1; i <= 20; ++i)
+    {
+        jobs.push_back(fixture.submit(1, i, 1));
+        fixture.run(milliseconds(50));
+    }
+    REQUIRE(run_until_answered(fixture, jobs));
+    CHECK(fixture.status_json(1).find(R"("cell":"north/0/1")") !=
+          std::string::npos);
+    CHECK(fixture.platform().findings().starts == before);
+}
+
 TEST_CASE("a draining endpoint gets no new work")
 {
     deployment fixture;
