A new dispatcher counts endpoints that it is about to read as capacity

Change: endpoints that are ready, unread and have not failed a call count.

Test: "cold start of all: a new dispatcher does not refuse jobs because it has read few of its endpoints so far" (3 of 30 jobs kept before, 30 now).

--- a/libs/dispatch/src/dispatcher_impl.hpp
+++ b/libs/dispatch/src/dispatcher_impl.hpp
@@ -61,8 +61,8 @@
                                          time_point now);
     duration estimated_wait(tracked_job const& job, duration slack) const;
     duration backlog() const;
-    /// Total thousandths of a core, in use or free, of endpoints that take
-    /// work.
+    /// Total thousandths of a core, in use or free, of endpoints that take work
+    /// or are about to.
     std::int64_t usable_processor() const;
     /// Estimated work of the job's waiting tasks: thousandths of a core times
     /// run time. All of them count with the need and run time of the first
--- a/libs/dispatch/src/dispatcher_jobs.cpp
+++ b/libs/dispatch/src/dispatcher_jobs.cpp
@@ -180,7 +180,7 @@
     std::int64_t processor = 0;
     for (auto const& [id, account] : accounts_)
     {
-        if (account->takes_work())
+        if (account->takes_work() || account->is_being_read())
             processor += account->record().capacity.processor;
     }
     return processor;
--- a/libs/dispatch/src/endpoint_account.cpp
+++ b/libs/dispatch/src/endpoint_account.cpp
@@ -101,6 +101,13 @@
            all_wanted();
 }
 
+bool endpoint_account::is_being_read() const
+{
+    return link_ == endpoint_link::unread &&
+           record_.stage == endpoint_stage::ready &&
+           last_call_failure_ == time_point{};
+}
+
 std::int64_t endpoint_account::add_run(run_key const& key, placed_run run,
                                        time_point now)
 {
--- a/libs/dispatch/src/endpoint_account.hpp
+++ b/libs/dispatch/src/endpoint_account.hpp
@@ -149,6 +149,10 @@
     /// clock is known, and none of its runs has to be stopped.
     bool takes_work() const;
 
+    /// Whether it is ready but has not been listed yet, and no call to it has
+    /// failed: it is about to take work.
+    bool is_being_read() const;
+
     /// Whether the lease may be renewed: none of the runs there is foreign or
     /// has to be stopped.
     bool all_wanted() const;
--- a/libs/dispatch/tests/dispatcher_test.cpp
+++ b/libs/dispatch/tests/dispatcher_test.cpp
@@ -310,6 +310,29 @@
     CHECK(f.tested.take_starts().empty());
 }
 
+TEST_CASE("cold start of all: a new dispatcher does not refuse jobs because it "
+          "has read few of its endpoints so far")
+{
+    dispatcher tested(dispatch_limits{}, token);
+    time_point const now = time_point{} + std::chrono::seconds(100);
+    std::map<std::string, endpoint_model> models;
+    for (int i = 0; i < 40; ++i)
+    {
+        auto const id = "e" + std::to_string(i);
+        models.emplace(id, endpoint_model(make_endpoint(id)));
+        tested.update_endpoint(make_endpoint(id));
+    }
+    auto const order = tested.next_list("e0", now);
+    REQUIRE(order);
+    run_list list;
+    models.at("e0").list(*order, 100'000, list);
+    tested.list_answered("e0", *order, list, 100'000, now, now);
+    for (int i = 0; i < 30; ++i)
+        tested.submit(make_spec("job" + std::to_string(i), 2), "home", now);
+    CHECK(tested.take_finished().empty());
+    CHECK(tested.jobs() == 30);
+}
+
 TEST_CASE("a job that would wait too long is refused early and does not run")
 {
     fixture f(1);
