Read the whole list of endpoints when the last read is over a second old

The store returns at most 500 changes at once, 2 s of those of 350 endpoints, so that the new dispatcher worked through old changes for up to 3 s and took endpoints for ready that had reported that they leave.

Change: after a gap of more than 1 s since the last successful read the whole table is read. The same holds after an outage of the store.

Test: gateway_test "an entry that takes over a cell is up to date although the store has more changes than fit one response"; the stand-in's store now limits the changes in a response.

--- a/libs/gateway/src/endpoint_watch.cpp
+++ b/libs/gateway/src/endpoint_watch.cpp
@@ -21,6 +21,11 @@
 /// of endpoints, and an entry that takes over a cell reads the table at once.
 constexpr milliseconds idle_interval{15'000};
 
+/// The store returns changes in order and at most 500 at once, and each
+/// endpoint writes its row every 1.5 s. After a longer gap than this a read of
+/// the whole table is sooner up to date than the changes are.
+constexpr milliseconds longest_gap{1'000};
+
 /// Interval while no endpoint of the data centre is known: its cells can't be
 /// claimed before.
 constexpr milliseconds waiting_interval{500};
@@ -105,6 +110,12 @@
     co_return true;
 }
 
+bool endpoint_watch::is_behind(time_point now) const
+{
+    auto const last = state_.registry.last_read();
+    return !last || now - *last > longest_gap;
+}
+
 milliseconds endpoint_watch::interval_after(bool read, bool dispatching) const
 {
     if (dispatching || !read)
@@ -121,7 +132,7 @@
     {
         bool const dispatching = is_dispatching_();
         bool read = false;
-        if (full_read_needed_ || !dispatching)
+        if (full_read_needed_ || !dispatching || is_behind(steady_clock::now()))
         {
             read = co_await read_all();
             full_read_needed_ = !read;
--- a/libs/gateway/src/endpoint_watch.hpp
+++ b/libs/gateway/src/endpoint_watch.hpp
@@ -28,6 +28,8 @@
     void read_now();
 
 private:
+    /// Whether the last successful read is too long ago to read changes only.
+    bool is_behind(time_point now) const;
     /// Time until the next read.
     milliseconds interval_after(bool read, bool dispatching) const;
     asio::awaitable<bool> read_all();
--- a/libs/gateway/tests/gateway_test.cpp
+++ b/libs/gateway/tests/gateway_test.cpp
@@ -191,6 +191,33 @@
     CHECK(fixture.platform().findings().starts == before);
 }
 
+TEST_CASE(
+    "an entry that takes over a cell is up to date although the store has "
+    "more changes than fit one response")
+{
+    deployment fixture;
+    fixture.add_endpoints("north", 4);
+    fixture.add_gateway("north", 0.5);
+    fixture.add_gateway("north", 0.25);
+    REQUIRE(fixture.run_until_ready(0));
+    REQUIRE(fixture.run_until_ready(1));
+    fixture.run(milliseconds(1'500));
+    for (auto const* const id : {"north1", "north2", "north3", "north0"})
+        fixture.platform().drain_endpoint(id);
+    fixture.run(milliseconds(1'500));
+    auto const before = fixture.platform().findings().starts;
+    fixture.platform().faults().changes_per_response = 1;
+    fixture.at(0).drain();
+    std::vector<std::shared_ptr<deployment::pending_answer>> jobs;
+    for (unsigned i = 1; i <= 20; ++i)
+    {
+        jobs.push_back(fixture.submit(1, i, 1));
+        fixture.run(milliseconds(50));
+    }
+    REQUIRE(run_until_answered(fixture, jobs));
+    CHECK(fixture.platform().findings().starts == before);
+}
+
 TEST_CASE("a draining endpoint gets no new work")
 {
     deployment fixture;
--- a/libs/test_support/include/test_support/gateway_standin.hpp
+++ b/libs/test_support/include/test_support/gateway_standin.hpp
@@ -26,6 +26,9 @@
     /// The store no longer holds its earlier changes, so that the next watch
     /// call fails.
     bool history_gone = false;
+    /// The store returns at most this many changes in one response, the oldest
+    /// first.
+    std::size_t changes_per_response = 500;
     milliseconds store_delay{0};
     /// Percentage of the start and stop orders that are carried out but get no
     /// response, and percentage of these that are carried out with a delay of
--- a/libs/test_support/src/standin_store.cpp
+++ b/libs/test_support/src/standin_store.cpp
@@ -2,6 +2,7 @@
 
 #include <openssl/evp.h>
 
+#include <algorithm>
 #include <chrono>
 
 namespace masticshift::test_support
@@ -84,7 +85,8 @@
     if (path == "/rows-get")
     {
         auto const from = transport::query_parameter(request.target, "from");
-        co_return self->rows_response(table, self->rows_.read(table, from));
+        co_return self->rows_response(table, self->rows_.read(table, from),
+                                      self->rows_.version());
     }
     co_return co_await watch(self, table, request.target);
 }
@@ -102,7 +104,20 @@
     while (self->rows_.changes(table, after).empty() &&
            steady_clock::now() < until)
         co_await wait_for(standin_poll_interval);
-    co_return self->rows_response(table, self->rows_.changes(table, after));
+    auto changes = self->rows_.changes(table, after);
+    auto version = self->rows_.version();
+    auto const limit = self->faults_->changes_per_response;
+    if (changes.size() > limit)
+    {
+        std::ranges::sort(changes, {},
+                          [](auto const& each)
+                          {
+                              return each.second.version;
+                          });
+        changes.resize(limit);
+        version = changes.back().second.version;
+    }
+    co_return self->rows_response(table, changes, version);
 }
 
 standin_response standin_store::commit(std::string const& text)
@@ -120,7 +135,8 @@
 }
 
 standin_response standin_store::rows_response(std::string const& table,
-                                              found_rows const& found) const
+                                              found_rows const& found,
+                                              std::int64_t version) const
 {
     json::array list;
     for (auto const& [key, row] : found)
@@ -138,7 +154,7 @@
     }
     return make_response(status_ok, {{"rows", std::move(list)},
                                      {"has_more", false},
-                                     {"row_version", rows_.version()},
+                                     {"row_version", version},
                                      {"now_ms", steady_ms()}});
 }
 
--- a/libs/test_support/src/standin_store.hpp
+++ b/libs/test_support/src/standin_store.hpp
@@ -39,7 +39,8 @@
           std::string target);
     standin_response commit(std::string const& text);
     standin_response rows_response(std::string const& table,
-                                   found_rows const& found) const;
+                                   found_rows const& found,
+                                   std::int64_t version) const;
 
     asio::any_io_executor executor_;
     std::shared_ptr<platform_faults> faults_;
