A retiring dispatcher is succeeded in its own data centre

Cause: the claim of a cell elsewhere needed no delay when its dispatcher had announced that it retires. In a larger deployment entries of other data centres don't exchange heartbeats with its successor and can't know that it exists.

Change: if the data centre may have another entry (the directory lists one that is not known to be leaving), the others wait 400 ms, in which the successor's claim reaches them. If it has none they claim at once, as before.

Test: membership_model_test "rolling restart: a retiring dispatcher has one successor, in its own data centre": three claims at 43 entries and four at 97 before, one now.

--- a/libs/dispatch/include/dispatch/peer_roster.hpp
+++ b/libs/dispatch/include/dispatch/peer_roster.hpp
@@ -196,6 +196,8 @@
     /// The state of a cell as of now.
     cell_state& update_cell(std::string const& cell,
                             std::string const& data_centre, time_point now);
+    /// Whether a data centre may have an entry that is not leaving.
+    bool has_other_candidate(std::string const& data_centre) const;
     bool has_orphaned_cell() const;
     bool has_orphaned_local_cell() const;
     bool may_claim_foreign(std::string const& cell, cell_state const& state,
--- a/libs/dispatch/src/peer_roster_succession.cpp
+++ b/libs/dispatch/src/peer_roster_succession.cpp
@@ -19,6 +19,10 @@
 /// claim it.
 constexpr milliseconds foreign_claim_delay{1'500};
 
+/// The same when the dispatcher has announced that it retires: time for the
+/// claim of its successor to be passed on.
+constexpr milliseconds retiring_claim_delay{400};
+
 /// The additional delay for each data centre that comes before this one in
 /// claiming the cell. One of them may be unable to reach the endpoints.
 constexpr milliseconds next_data_centre_delay{1'000};
@@ -82,9 +86,10 @@
     if (!state.reachable_since)
         return false;
     // The heartbeats of a retiring dispatcher are received, so it is neither
-    // restarting nor behind a network partition, and no delay is needed.
+    // restarting nor behind a network partition.
     if (is_retiring(cell, now))
-        return true;
+        return !has_other_candidate(state.data_centre) ||
+               now - *state.orphaned_since >= retiring_claim_delay;
     auto const delay = foreign_claim_delay +
                        next_data_centre_delay *
                            data_centres_before(cell, state.data_centre, now);
@@ -92,6 +97,19 @@
            now - *state.reachable_since >= foreign_reach_delay;
 }
 
+bool peer_roster::has_other_candidate(std::string const& data_centre) const
+{
+    return std::ranges::any_of(
+        candidates_,
+        [&](auto const& each)
+        {
+            if (each.second != data_centre)
+                return false;
+            auto const* const known = liveness_.find(each.first);
+            return known == nullptr || !known->heartbeat.leaving;
+        });
+}
+
 bool peer_roster::should_probe(std::string const& cell,
                                std::string const& data_centre, time_point now)
 {
--- a/libs/dispatch/tests/membership_model.hpp
+++ b/libs/dispatch/tests/membership_model.hpp
@@ -82,6 +82,15 @@
         start_entry(entry.number);
     }
 
+    /// The process drains: it retires from its cells and claims no other.
+    void drain(std::string const& address)
+    {
+        auto& entry = entries_.at(address);
+        entry.draining = true;
+        entry.roster->set_leaving();
+        publish(entry);
+    }
+
     /// The process does nothing, but messages to it are kept.
     void pause(std::string const& address, bool paused)
     {
@@ -186,6 +195,7 @@
         bool running = true;
         bool refuses = false;
         bool paused = false;
+        bool draining = false;
     };
 
     struct message
@@ -351,6 +361,8 @@
             ++counts_.views_without_dispatcher;
         if (entry.claims.contains(cell.name))
         {
+            if (entry.draining)
+                return;
             if (roster.should_retire(cell.name, cell.data_centre, now_))
                 entry.claims.erase(cell.name);
             return;
@@ -376,6 +388,7 @@
             claim.cell = cell;
             claim.token = entry.roster->self().incarnation;
             claim.endpoints = 50;
+            claim.retiring = entry.draining;
             claims.push_back(std::move(claim));
         }
         entry.roster->set_claims(std::move(claims));
--- a/libs/dispatch/tests/membership_model_test.cpp
+++ b/libs/dispatch/tests/membership_model_test.cpp
@@ -233,6 +233,30 @@
     }
 }
 
+TEST_CASE(
+    "rolling restart: a retiring dispatcher has one successor, in its own "
+    "data centre")
+{
+    for (auto const& size : sizes)
+    {
+        if (size.entries < 40)
+            continue; // one entry of a data centre dispatches, one is left
+        CAPTURE(size.entries);
+        membership_model model(size, 0, 11);
+        model.run_for(milliseconds(4'000));
+        auto const cell = model.cells().front();
+        auto const holder = model.holders(cell);
+        REQUIRE(holder.size() == 1);
+        model.reset_counts();
+        model.drain(holder[0]);
+        model.run_for(milliseconds(2'500));
+        CHECK(model.counts().claims_begun == 1);
+        auto const both = model.holders(cell);
+        REQUIRE(both.size() == 2);
+        CHECK(model.data_centre_of(both[0]) == model.data_centre_of(both[1]));
+    }
+}
+
 TEST_CASE("a paused entry claims no cell when it continues")
 {
     for (auto const& size : sizes)
