Log when an endpoint is known to drain, and how old a new dispatcher's list is

The logs of the incident could not tell a dispatcher that had not read that an endpoint drains from one that had and started work there, nor how old the list was with which it took the cell over.

endpoint_draining and list_age_ms of dispatch_begun say both. No logic changes.

--- a/libs/gateway/src/cell_manager.cpp
+++ b/libs/gateway/src/cell_manager.cpp
@@ -66,7 +66,12 @@
             cell->remove_endpoint(id);
     }
     for (auto const& record : changes.updated)
+    {
+        if (record.stage == dispatch::endpoint_stage::draining)
+            log_event(log_level::info, "endpoint_draining",
+                      {{"endpoint", record.id}});
         records_[record.id] = record;
+    }
     update_layout(!changes.updated.empty() || !changes.removed.empty(), now);
     for (auto const& record : changes.updated)
     {
--- a/libs/gateway/src/cell_runner.cpp
+++ b/libs/gateway/src/cell_runner.cpp
@@ -68,7 +68,16 @@
     for (auto const& [vm, speed] : state_.learnt_speeds)
         dispatcher_->speeds().adopt(vm, speed);
     log_event(log_level::info, "dispatch_begun",
-              {{"cell", cell_}, {"token", dispatcher_->token()}});
+              {{"cell", cell_},
+               {"token", dispatcher_->token()},
+               {"list_age_ms", list_age_ms(dispatching_since_)}});
+}
+
+std::int64_t cell_runner::list_age_ms(time_point now) const
+{
+    auto const read = state_.registry.last_read();
+    return read ? std::chrono::duration_cast<milliseconds>(now - *read).count()
+                : -1;
 }
 
 void cell_runner::step(time_point now)
--- a/libs/gateway/src/cell_runner.hpp
+++ b/libs/gateway/src/cell_runner.hpp
@@ -90,6 +90,8 @@
     void add_endpoints(time_point now);
     bool may_take(std::string const& endpoint, time_point now) const;
     bool knows_recent_endpoints(time_point now) const;
+    /// Age of the list of endpoints. -1: none was read yet.
+    std::int64_t list_age_ms(time_point now) const;
     void cancel_jobs_of_lost_origins(time_point now);
 
     static asio::awaitable<void> watch_endpoint(self_ptr self,
