Read all changes of the endpoints at once, not 500 in each interval

What callers would see: work that is lost with an endpoint that has left (DRAIN).

Cause: the store returns 500 changes at most.

Change: a full response is followed by the next read at once, until one is not full. A read counts as successful only then.

--- a/libs/gateway/src/endpoint_watch.cpp
+++ b/libs/gateway/src/endpoint_watch.cpp
@@ -94,19 +94,24 @@
 
 asio::awaitable<bool> endpoint_watch::read_changes()
 {
-    bool history_gone = false;
-    auto request = platform::encode_watch(platform::endpoint_table,
-                                          seen_version_, milliseconds(0));
-    auto const rows =
-        co_await store_.read(std::move(request), read_timeout, history_gone);
-    if (history_gone)
-        full_read_needed_ = true;
-    if (!rows)
-        co_return history_gone;
-    auto const now = steady_clock::now();
-    for (auto const& row : rows->rows)
-        apply_row(row, now);
-    seen_version_ = std::max(seen_version_, rows->version);
+    bool more = true;
+    while (more)
+    {
+        bool history_gone = false;
+        auto request = platform::encode_watch(platform::endpoint_table,
+                                              seen_version_, milliseconds(0));
+        auto const rows = co_await store_.read(std::move(request), read_timeout,
+                                               history_gone);
+        if (history_gone)
+            full_read_needed_ = true;
+        if (!rows)
+            co_return history_gone;
+        auto const now = steady_clock::now();
+        for (auto const& row : rows->rows)
+            apply_row(row, now);
+        more = rows->has_more && rows->version > seen_version_;
+        seen_version_ = std::max(seen_version_, rows->version);
+    }
     co_return true;
 }
 
