Start work only by a list of endpoints that was read in the last second

What callers saw: work that was started on an endpoint over two seconds after it had reported that it leaves (DRAIN), when an entry had taken over the cell of a dispatcher that was gone.

Cause: how old the list may be was checked once, when a cell was taken over, by a timer: after 500 ms the dispatcher began with whatever list it had, up to 15 s old, also while a newer one was being read (a read without response takes 500 ms, and the one through a peer comes after it). Released endpoints were taken with the records of before the read, up to 50 ms, and a paused process went on with its old list.

Change: the rule stands where starts are ordered. The dispatcher is told until when its records may be used, together with the records: a second from when their read began. Past that, jobs wait; jobs that are to start only if idle are refused as busy, so that another cell takes them. Once reads have failed for 500 ms the store counts as away, and the last list is used. A cell that is taken over during an outage is no longer held up for 500 ms, and its endpoints are read beside the list.

Ruled out: a larger limit in place of 500 ms, which holds the cell up during an outage and leaves the other two cases.

--- a/libs/dispatch/include/dispatch/dispatcher.hpp
+++ b/libs/dispatch/include/dispatch/dispatcher.hpp
@@ -125,6 +125,10 @@
 
     void update_endpoint(endpoint_record record);
 
+    /// Orders no starts after this time, until a later one is set: the records
+    /// of the endpoints are too old then. No limit by default.
+    void use_records_until(time_point end);
+
     /// Places no new work on the endpoint, and removes it when its runs have
     /// ended.
     void remove_endpoint(std::string const& id);
--- a/libs/dispatch/include/dispatch/endpoint_registry.hpp
+++ b/libs/dispatch/include/dispatch/endpoint_registry.hpp
@@ -45,15 +45,20 @@
     void replace(std::vector<versioned_record> entries, std::int64_t version,
                  time_point now);
 
-    /// Records whether a read of the store succeeded.
-    void record_read(bool succeeded, time_point now);
+    /// Records whether a read of the store, begun at `begun`, succeeded.
+    void record_read(bool succeeded, time_point begun, time_point now);
 
-    /// When the last successful read ended.
+    /// When the last successful read began.
     std::optional<time_point> last_read() const
     {
         return last_read_;
     }
 
+    /// Until when new work may be started by what was read last. Unlimited
+    /// once reads have failed for a while: endpoints are used as last known
+    /// then.
+    time_point usable_until(time_point now) const;
+
     /// The changes since the last call.
     registry_changes take_changes(time_point now);
 
@@ -78,6 +83,8 @@
     std::map<std::string, entry> entries_;
     /// Since when all reads have succeeded. Empty: the last one failed.
     std::optional<time_point> readable_since_;
+    /// When the first read began that failed since the last successful one.
+    std::optional<time_point> unreadable_since_;
     std::optional<time_point> last_read_;
 };
 
--- a/libs/dispatch/src/dispatcher.cpp
+++ b/libs/dispatch/src/dispatcher.cpp
@@ -303,6 +303,11 @@
     impl_->update_endpoint(std::move(record));
 }
 
+void dispatcher::use_records_until(time_point end)
+{
+    impl_->records_usable_until_ = end;
+}
+
 void dispatcher::remove_endpoint(std::string const& id)
 {
     impl_->remove_endpoint(id);
--- a/libs/dispatch/src/dispatcher_impl.hpp
+++ b/libs/dispatch/src/dispatcher_impl.hpp
@@ -135,6 +135,7 @@
     std::deque<std::pair<time_point, std::string>> completed_;
     std::set<std::string> completed_ids_;
     time_point progress_checked_{};
+    time_point records_usable_until_ = time_point::max();
     bool retiring_ = false;
 };
 
--- a/libs/dispatch/src/dispatcher_placement.cpp
+++ b/libs/dispatch/src/dispatcher_placement.cpp
@@ -55,6 +55,8 @@
 bool dispatcher::impl::can_start_all(tracked_job const& job,
                                      time_point finish_by, time_point now) const
 {
+    if (now > records_usable_until_)
+        return false;
     placement_choice const choice(accounts_, speeds_, limits_.remote_factor);
     for (std::size_t number = 0; number < job.spec.steps.size(); ++number)
     {
@@ -71,7 +73,7 @@
 
 void dispatcher::impl::place(time_point now)
 {
-    if (queue_.jobs().empty())
+    if (queue_.jobs().empty() || now > records_usable_until_)
         return;
     auto largest = largest_free();
     std::vector<job_ptr> placed;
--- a/libs/dispatch/src/endpoint_registry.cpp
+++ b/libs/dispatch/src/endpoint_registry.cpp
@@ -14,6 +14,14 @@
 /// available.
 constexpr milliseconds removal_delay{2'500};
 
+/// An endpoint must get no new work two seconds after it has reported that it
+/// drains. A start order may be repeated for half a second.
+constexpr milliseconds longest_use{1'000};
+
+/// Reads that fail for this long are taken for an outage of the store. A failed
+/// read is repeated sooner.
+constexpr milliseconds outage_after{500};
+
 } // namespace
 
 void endpoint_registry::put(versioned_record updated)
@@ -62,16 +70,32 @@
     }
 }
 
-void endpoint_registry::record_read(bool succeeded, time_point now)
+void endpoint_registry::record_read(bool succeeded, time_point begun,
+                                    time_point now)
 {
     if (succeeded)
-        last_read_ = now;
+    {
+        last_read_ = begun;
+        unreadable_since_.reset();
+    }
+    else if (!unreadable_since_)
+    {
+        unreadable_since_ = begun;
+    }
     if (!succeeded)
         readable_since_.reset();
     else if (!readable_since_)
         readable_since_ = now;
 }
 
+time_point endpoint_registry::usable_until(time_point now) const
+{
+    bool const outage =
+        unreadable_since_ && now - *unreadable_since_ >= outage_after;
+    return last_read_ && !outage ? *last_read_ + longest_use
+                                 : time_point::max();
+}
+
 registry_changes endpoint_registry::take_changes(time_point now)
 {
     registry_changes changes;
--- a/libs/dispatch/tests/dispatcher_test.cpp
+++ b/libs/dispatch/tests/dispatcher_test.cpp
@@ -340,3 +340,39 @@
     CHECK(std::ranges::find(decisions, "endpoint_trusted", &decision::event) !=
           decisions.end());
 }
+
+// A process that was paused, or a dispatcher that has just taken over, has old
+// records; jobs that wait must not start by them.
+TEST_CASE("no task starts by records that are too old, and waiting jobs start "
+          "with newer ones")
+{
+    dispatcher_fixture f(2);
+    f.tested.use_records_until(f.now - milliseconds(1));
+    f.tested.submit(make_spec("a", 2), "home", f.now);
+    f.advance(milliseconds(10));
+    f.read_all();
+    CHECK(f.tested.take_starts().empty());
+    auto record = make_endpoint("e0");
+    record.stage = endpoint_stage::draining;
+    f.tested.update_endpoint(record);
+    f.tested.use_records_until(f.now + milliseconds(1'000));
+    f.advance(milliseconds(10));
+    auto const starts = f.tested.take_starts();
+    REQUIRE(starts.size() == 2);
+    CHECK(starts[0].endpoint == "e1");
+    CHECK(starts[1].endpoint == "e1");
+}
+
+TEST_CASE(
+    "a job that is to start only if idle is refused as busy while records "
+    "are too old")
+{
+    dispatcher_fixture f(2);
+    f.tested.use_records_until(f.now - milliseconds(1));
+    auto spec = make_spec("a", 1);
+    spec.only_if_idle = true;
+    f.tested.submit(spec, "home", f.now);
+    auto const finished = f.tested.take_finished();
+    REQUIRE(finished.size() == 1);
+    CHECK(finished[0].result.reason == end_reason::busy_cell);
+}
--- a/libs/gateway/src/cell_manager.cpp
+++ b/libs/gateway/src/cell_manager.cpp
@@ -79,6 +79,9 @@
         if (found != cells_.end())
             found->second->update_endpoint(record);
     }
+    records_usable_until_ = state_.registry.usable_until(now);
+    for (auto const& [name, cell] : cells_)
+        cell->use_records_until(records_usable_until_, now);
 }
 
 void cell_manager::update_layout(bool endpoints_changed, time_point now)
@@ -101,7 +104,7 @@
     for (auto const& cell : layout_.cells())
     {
         if (state_.roster.should_claim(cell.name, cell.data_centre, now))
-            take_over(cell);
+            take_over(cell, now);
         else if (state_.roster.should_probe(cell.name, cell.data_centre, now) &&
                  probing_.insert(cell.name).second)
             asio::co_spawn(executor_, probe(*this, cell), asio::detached);
@@ -159,10 +162,11 @@
     self.probing_.erase(cell.name);
 }
 
-void cell_manager::take_over(dispatch::cell const& cell)
+void cell_manager::take_over(dispatch::cell const& cell, time_point now)
 {
     auto const runner = std::make_shared<cell_runner>(
         state_, endpoints_, peers_, executor_, cell.name);
+    runner->use_records_until(records_usable_until_, now);
     cells_[cell.name] = runner;
     for (auto const& [id, record] : records_)
     {
--- a/libs/gateway/src/cell_manager.hpp
+++ b/libs/gateway/src/cell_manager.hpp
@@ -63,7 +63,7 @@
     void update_layout(bool endpoints_changed, time_point now);
     void log_ended_peers(time_point now);
     void update_roles(time_point now);
-    void take_over(dispatch::cell const& cell);
+    void take_over(dispatch::cell const& cell, time_point now);
     /// Calls an endpoint of a cell of another data centre and records whether
     /// it responded, on which depends whether this entry claims the cell.
     static asio::awaitable<void> probe(cell_manager& self, dispatch::cell cell);
@@ -80,6 +80,8 @@
     dispatch::cell_counts cell_counts_;
     /// All known endpoints, by id.
     std::map<std::string, dispatch::endpoint_record> records_;
+    /// Until when starts may be ordered by them. Set together with them.
+    time_point records_usable_until_ = time_point::max();
     std::map<std::string, std::shared_ptr<cell_runner>> cells_;
     /// Cells that are being probed.
     std::set<std::string> probing_;
--- a/libs/gateway/src/cell_runner.cpp
+++ b/libs/gateway/src/cell_runner.cpp
@@ -24,13 +24,6 @@
 /// orders with the first one have arrived before the second.
 constexpr milliseconds token_advance_interval{300};
 
-/// An endpoint that was removed or reported that it drains must get no new work
-/// some seconds later, so a new dispatcher needs a list of endpoints that is
-/// not older than this when it begins. While the store does not respond, it
-/// begins with an older list after the limit.
-constexpr milliseconds recent_list_age{1'000};
-constexpr milliseconds recent_list_limit{500};
-
 /// How often to look for jobs whose entry no longer sends heartbeats.
 constexpr milliseconds origin_check_interval{50};
 
@@ -168,17 +161,9 @@
            !state_.roster.is_retiring(cell_, now);
 }
 
-bool cell_runner::knows_recent_endpoints(time_point now) const
-{
-    auto const read = state_.registry.last_read();
-    return (read && *read >= dispatching_since_ - recent_list_age) ||
-           now - dispatching_since_ > recent_list_limit;
-}
-
 void cell_runner::add_endpoints(time_point now)
 {
-    if (retiring_ || watch_timers_.size() == records_.size() ||
-        !knows_recent_endpoints(now))
+    if (retiring_ || watch_timers_.size() == records_.size())
         return;
     for (auto const& [id, record] : records_)
     {
@@ -200,6 +185,17 @@
         dispatcher_->update_endpoint(record);
 }
 
+void cell_runner::use_records_until(time_point end, time_point now)
+{
+    dispatcher_->use_records_until(end);
+    bool const held = now > end;
+    if (std::exchange(starts_held_, held) != held)
+        log_event(log_level::info, held ? "starts_held" : "starts_resumed",
+                  {{"cell", cell_},
+                   {"list_age_ms", list_age_ms(now)},
+                   {"waiting_tasks", dispatcher_->waiting_tasks()}});
+}
+
 void cell_runner::remove_endpoint(std::string const& id)
 {
     records_.erase(id);
--- a/libs/gateway/src/cell_runner.hpp
+++ b/libs/gateway/src/cell_runner.hpp
@@ -42,6 +42,9 @@
     void update_endpoint(dispatch::endpoint_record const& record);
     void remove_endpoint(std::string const& id);
 
+    /// Orders no starts after this time, until a later one is set.
+    void use_records_until(time_point end, time_point now);
+
     /// Called when the former dispatcher of the cell has released endpoints.
     /// `last`: it has stopped, so all endpoints are released.
     void accept_released(std::vector<std::string> const& endpoints, bool last);
@@ -89,7 +92,6 @@
     void advance_token(time_point now);
     void add_endpoints(time_point now);
     bool may_take(std::string const& endpoint, time_point now) const;
-    bool knows_recent_endpoints(time_point now) const;
     /// Age of the list of endpoints. -1: none was read yet.
     std::int64_t list_age_ms(time_point now) const;
     void cancel_jobs_of_lost_origins(time_point now);
@@ -128,6 +130,8 @@
     std::unique_ptr<dispatch::dispatcher> dispatcher_;
     bool retiring_ = false;
     bool stopped_ = false;
+    /// Starts wait for a newer list of endpoints.
+    bool starts_held_ = false;
     time_point dispatching_since_{};
     time_point retiring_since_{};
     time_point token_advanced_{};
--- a/libs/gateway/src/endpoint_watch.cpp
+++ b/libs/gateway/src/endpoint_watch.cpp
@@ -137,7 +137,8 @@
     {
         bool const dispatching = is_dispatching_();
         bool read = false;
-        if (full_read_needed_ || !dispatching || is_behind(steady_clock::now()))
+        auto const begun = steady_clock::now();
+        if (full_read_needed_ || !dispatching || is_behind(begun))
         {
             read = co_await read_all();
             full_read_needed_ = !read;
@@ -146,7 +147,7 @@
         {
             read = co_await read_changes();
         }
-        state_.registry.record_read(read, steady_clock::now());
+        state_.registry.record_read(read, begun, steady_clock::now());
         auto const interval = interval_after(read, dispatching);
         if (!std::exchange(read_requested_, false))
         {
