Give a task up after two crashes, and run it alone after the first

Cause: a run that its endpoint lost in a crash counted like one that we had stopped or whose endpoint was silent. After five of them the job ended as unknown, on which its caller submits it again, and the count starts anew: six endpoints crashed under one task in the test, three of them after the third.

Change: a crash is told from other losses: the endpoint's connections are refused (http_client says so now), another process answers there, or its start time is new, and it was not draining. After two the job has failed, which is final for its caller, also when it is submitted again. After the first the task runs alone, because a harmless neighbour is under the same suspicion: nothing is placed beside it, and it gets an idle endpoint if there is one.

Ruled out: counting all lost runs, which would give up work on endpoints that were only silent; a count in the store, which costs a write for each crash: a successor begins anew, so that two dispatchers have to die under one task before a bound of three is passed.

--- a/libs/dispatch/include/dispatch/endpoint_calls.hpp
+++ b/libs/dispatch/include/dispatch/endpoint_calls.hpp
@@ -78,6 +78,8 @@
     unhealthy,
     /// Another process answers at this address.
     other_instance,
+    /// No process listens at the address.
+    connection_refused,
     /// No byte of the order was sent.
     not_sent,
     /// No response came. The order may have been carried out, or may still be.
--- a/libs/dispatch/include/dispatch/job.hpp
+++ b/libs/dispatch/include/dispatch/job.hpp
@@ -62,7 +62,7 @@
 enum class job_end
 {
     completed,
-    /// A task failed `max_attempts` times.
+    /// A task failed `max_attempts` times, or crashed its endpoints.
     failed,
     /// No task has run or will run.
     refused,
@@ -92,7 +92,9 @@
     /// The caller's timeout has passed.
     out_of_time,
     /// The cell could not start it at once; another cell is tried.
-    busy_cell
+    busy_cell,
+    /// Too many endpoints have crashed while they ran one of its tasks.
+    endpoints_crashed
 };
 
 char const* name_of(end_reason reason);
--- a/libs/dispatch/src/dispatcher.cpp
+++ b/libs/dispatch/src/dispatcher.cpp
@@ -63,6 +63,20 @@
                           name_of(reason)});
 }
 
+void dispatcher::impl::check_process(endpoint_account& account,
+                                     order_response response)
+{
+    bool const ended = response == order_response::connection_refused ||
+                       response == order_response::other_instance;
+    if (ended && account.record_process_ended())
+        decisions_.push_back({"endpoint_process_ended",
+                              {},
+                              {},
+                              account.record().id,
+                              name_of(response),
+                              static_cast<double>(account.runs().size())});
+}
+
 void dispatcher::impl::update_endpoint(endpoint_record record)
 {
     auto const id = record.id;
@@ -159,6 +173,7 @@
         return;
     decisions_.push_back(
         {"list_failed", {}, {}, endpoint, name_of(response), 0});
+    check_process(*account, response);
     if (response == order_response::outranked)
         account->record_outranked();
     else
--- a/libs/dispatch/src/dispatcher_impl.hpp
+++ b/libs/dispatch/src/dispatcher_impl.hpp
@@ -1,6 +1,7 @@
 #ifndef MASTICSHIFT_DISPATCH_DISPATCHER_IMPL_HPP
 #define MASTICSHIFT_DISPATCH_DISPATCHER_IMPL_HPP
 
+#include "crash_history.hpp"
 #include "endpoint_account.hpp"
 #include "placement_choice.hpp"
 #include "tracked_job.hpp"
@@ -98,12 +99,19 @@
     void task_failed(endpoint_account& account, finished_run const& finished,
                      time_point now);
     void task_lost(finished_run const& finished, time_point now);
+    /// An endpoint has crashed under the task, as others have before:
+    /// `crashes` in all.
+    void task_crashed(finished_run const& finished, int crashes,
+                      time_point now);
     void requeue_task(job_ptr const& job, std::size_t index, time_point now);
     /// Reacts to a start order without a response.
     void start_unanswered(endpoint_account& account, run_key const& key,
                           placed_run& run, time_point now);
     void discard_start(endpoint_account& account, run_key const& key,
                        time_point now);
+    /// Reacts to a response that shows whether the endpoint's process has
+    /// ended.
+    void check_process(endpoint_account& account, order_response response);
     void record_success(endpoint_account& account);
     void record_failure(endpoint_account& account, endpoint_failure reason,
                         time_point now);
@@ -134,6 +142,7 @@
     /// Recently completed jobs, the oldest first.
     std::deque<std::pair<time_point, std::string>> completed_;
     std::set<std::string> completed_ids_;
+    crash_history crash_history_;
     time_point progress_checked_{};
     time_point records_usable_until_ = time_point::max();
     bool retiring_ = false;
--- a/libs/dispatch/src/dispatcher_placement.cpp
+++ b/libs/dispatch/src/dispatcher_placement.cpp
@@ -127,7 +127,9 @@
     placement_choice const choice(accounts_, speeds_, limits_.remote_factor);
     bool const late = now > job->objective - chain_time(job->spec);
     auto const finish_by = late ? time_point::max() : job->objective;
-    auto const place = choice.choose(*job, step, task.step, finish_by, now);
+    bool const alone = crash_history_.crashes(task.name) > 0;
+    auto const place =
+        choice.choose(*job, step, task.step, finish_by, now, alone);
     if (place.endpoint == nullptr)
         return false;
     task.phase = task_phase::placed;
@@ -139,6 +141,7 @@
     run.job = job;
     run.task = index;
     run.need = step.need;
+    run.alone = alone;
     run.expected = place.expected;
     auto const until = place.endpoint->add_run(key, run, now);
     ++live_runs_[task.name];
@@ -184,10 +187,16 @@
     auto const live = live_runs_.find(finished.key.task);
     if (live != live_runs_.end() && --live->second == 0)
         live_runs_.erase(live);
+    // Counts also for a job that has ended: its caller may submit it again.
+    bool const crashed = !finished.end && finished.run.endpoint_crashed;
+    auto const crashes =
+        crashed ? crash_history_.record(finished.key.task, now) : 0;
     auto const& job = finished.run.job;
     if (!job || job->ended)
         return;
-    if (finished.end == run_end::done)
+    if (crashed)
+        task_crashed(finished, crashes, now);
+    else if (finished.end == run_end::done)
         task_done(account, finished, now);
     else if (finished.end == run_end::failed)
         task_failed(account, finished, now);
@@ -242,6 +251,18 @@
         requeue_task(job, finished.run.task, now);
 }
 
+void dispatcher::impl::task_crashed(finished_run const& finished, int crashes,
+                                    time_point now)
+{
+    auto const& job = finished.run.job;
+    record_decision("task_ended", *job, finished.key.task,
+                    job->tasks[finished.run.task].endpoint, "crashed", crashes);
+    if (crash_history::is_limit(crashes))
+        finish(job, {job_end::failed, end_reason::endpoints_crashed}, now);
+    else
+        requeue_task(job, finished.run.task, now);
+}
+
 void dispatcher::impl::requeue_task(job_ptr const& job, std::size_t index,
                                     time_point now)
 {
@@ -300,6 +321,7 @@
     if (found == account->runs().end())
         return;
     auto& run = found->second;
+    check_process(*account, response);
     if (run.job && response != order_response::accepted)
         record_decision("start_answered", *run.job, order.run.task,
                         order.endpoint, name_of(response),
@@ -340,6 +362,7 @@
         }
         break;
     case order_response::unhealthy:
+    case order_response::connection_refused:
     case order_response::not_sent:
     case order_response::other_instance:
         record_failure(*account, endpoint_failure::order_refused, now);
@@ -363,6 +386,7 @@
     auto* const account = find(order.endpoint);
     if (account == nullptr)
         return;
+    check_process(*account, response);
     if (response == order_response::outranked)
         account->record_outranked();
     auto const found = account->runs().find(order.run);
--- a/libs/dispatch/src/endpoint_account.cpp
+++ b/libs/dispatch/src/endpoint_account.cpp
@@ -67,6 +67,7 @@
     bool const known = std::exchange(record_.started_ms, started_ms) != 0;
     if (!known)
         return false;
+    mark_crashed();
     clock_.reset();
     seen_end_ = acknowledged_end_ = 0;
     if (link_ != endpoint_link::outranked)
@@ -116,6 +117,7 @@
     run.lease_until = clock_.lease_end(now, limits_.longest_lease);
     record_lease(run.lease_until);
     used_ += run.need;
+    lone_runs_ += run.alone ? 1 : 0;
     auto const until = run.lease_until;
     runs_.emplace(key, std::move(run));
     return until;
@@ -222,6 +224,7 @@
     }
     auto& run = found->second;
     run.listed = now;
+    run.endpoint_crashed = false;
     if (run.phase == run_phase::starting)
     {
         run.phase = run_phase::running;
@@ -238,6 +241,7 @@
                                           time_point now)
 {
     list_changes changes;
+    process_ended_ = false;
     reset_if_restarted(list.started_ms);
     if (link_ != endpoint_link::outranked)
         link_ = endpoint_link::active;
@@ -288,6 +292,18 @@
     link_ = endpoint_link::outranked;
 }
 
+bool endpoint_account::record_process_ended()
+{
+    mark_crashed();
+    return !std::exchange(process_ended_, true);
+}
+
+void endpoint_account::mark_crashed()
+{
+    for (auto& [key, run] : runs_)
+        run.endpoint_crashed = record_.stage == endpoint_stage::ready;
+}
+
 void endpoint_account::record_capacity_mismatch()
 {
     if (link_ == endpoint_link::active)
@@ -314,6 +330,7 @@
 {
     finished_run finished{place->first, std::move(place->second), end};
     used_ -= finished.run.need;
+    lone_runs_ -= finished.run.alone ? 1 : 0;
     if (finished.run.phase == run_phase::foreign)
         --foreign_runs_;
     runs_.erase(place);
--- a/libs/dispatch/src/endpoint_account.hpp
+++ b/libs/dispatch/src/endpoint_account.hpp
@@ -49,6 +49,11 @@
     time_point listed;
     /// The run is to be stopped.
     bool unwanted = false;
+    /// An endpoint has crashed under the task before: nothing else is placed
+    /// beside it.
+    bool alone = false;
+    /// The endpoint's process has ended since the run was last listed.
+    bool endpoint_crashed = false;
     /// Set when the endpoint has confirmed a stop.
     std::optional<time_point> stop_confirmed;
     time_point stop_sent;
@@ -149,6 +154,12 @@
     /// clock is known, and none of its runs has to be stopped.
     bool takes_work() const;
 
+    /// Whether a run there must stay alone.
+    bool runs_alone() const
+    {
+        return lone_runs_ > 0;
+    }
+
     /// Whether it is ready but has not been listed yet, and no call to it has
     /// failed: it is about to take work.
     bool is_being_read() const;
@@ -180,6 +191,8 @@
     /// A call got no usable response.
     void record_call_failure(time_point now);
     void record_outranked();
+    /// The process of the endpoint has ended. Returns whether that was new.
+    bool record_process_ended();
     /// The endpoint has less free capacity than accounted here: it is listed
     /// before the next start.
     void record_capacity_mismatch();
@@ -203,6 +216,9 @@
     void apply_active(active_run const& seen, time_point sent, time_point now,
                       list_changes& changes);
     void record_lease(std::int64_t lease_until);
+    /// Marks the runs as lost with the process. An endpoint that drains ends as
+    /// planned, and has not crashed.
+    void mark_crashed();
     finished_run take(run_map::iterator place, std::optional<run_end> end);
     std::vector<finished_run> take_all();
 
@@ -214,6 +230,9 @@
     std::map<run_key, placed_run> runs_;
     resources used_;
     int foreign_runs_ = 0;
+    int lone_runs_ = 0;
+    /// No list has arrived since its process ended.
+    bool process_ended_ = false;
     /// Highest number of an end that was listed, and that was acknowledged.
     std::int64_t seen_end_ = 0;
     std::int64_t acknowledged_end_ = 0;
--- a/libs/dispatch/src/placement_choice.cpp
+++ b/libs/dispatch/src/placement_choice.cpp
@@ -59,8 +59,8 @@
                               tracked_job const& job, job_step const& step,
                               int step_number, time_point now) const
 {
-    if (!account.takes_work() || !suits(account.record(), job, step) ||
-        !fits(step.need, account.free()))
+    if (!account.takes_work() || account.runs_alone() ||
+        !suits(account.record(), job, step) || !fits(step.need, account.free()))
         return false;
     auto const trust = account.health().trust(now);
     if (trust == endpoint_trust::ejected)
@@ -73,9 +73,9 @@
 
 placement placement_choice::choose(tracked_job const& job, job_step const& step,
                                    int step_number, time_point finish_by,
-                                   time_point now) const
+                                   time_point now, bool alone) const
 {
-    using rank = std::tuple<bool, int, std::int64_t>;
+    using rank = std::tuple<bool, bool, int, std::int64_t>;
     placement best;
     rank best_rank;
     for (auto const& [id, account] : accounts_)
@@ -87,7 +87,8 @@
             continue;
         auto const trusted =
             account->health().trust(now) == endpoint_trust::full;
-        rank const candidate{!trusted, speed_class(expected),
+        bool const shared = alone && !account->runs().empty();
+        rank const candidate{shared, !trusted, speed_class(expected),
                              account->free().processor};
         if (best.endpoint != nullptr && candidate >= best_rank)
             continue;
--- a/libs/dispatch/src/placement_choice.hpp
+++ b/libs/dispatch/src/placement_choice.hpp
@@ -36,10 +36,11 @@
     /// end first; among about equally fast ones, the one with the least free
     /// processor (best fit). Fully trusted endpoints come before those on
     /// probation. Only endpoints on which the task ends before `finish_by` are
-    /// considered; `endpoint` is null if there is none.
+    /// considered; `endpoint` is null if there is none. A task that is to run
+    /// `alone` gets an idle endpoint if there is one.
     placement choose(tracked_job const& job, job_step const& step,
-                     int step_number, time_point finish_by,
-                     time_point now) const;
+                     int step_number, time_point finish_by, time_point now,
+                     bool alone = false) const;
 
     /// Estimates how many tasks could start now on fully trusted endpoints and
     /// end before `finish_by`, from the free processor alone once one task
--- a/libs/dispatch/tests/crashing_task_test.cpp
+++ b/libs/dispatch/tests/crashing_task_test.cpp
@@ -13,18 +13,18 @@
 namespace
 {
 
-/// Carries out the pending starts and restarts each endpoint that has received
-/// one of a task of this job. Returns the number of these starts.
+/// Carries out the pending starts and restarts each endpoint that has started a
+/// task of this job. Returns the number of these starts.
 int start_and_crash(dispatcher_fixture& f, std::string const& job)
 {
     int crashes = 0;
     for (auto const& order : f.tested.take_starts())
     {
         auto& model = f.models.at(order.endpoint);
-        f.tested.start_answered(order,
-                                model.start(order, f.clock(), run_time, false),
-                                f.clock(), f.now);
-        if (!order.run.task.starts_with(job + "."))
+        auto const response = model.start(order, f.clock(), run_time, false);
+        f.tested.start_answered(order, response, f.clock(), f.now);
+        if (response != order_response::accepted ||
+            !order.run.task.starts_with(job + "."))
             continue;
         model.restart(model.record().started_ms + 1);
         ++crashes;
@@ -168,3 +168,48 @@
     CHECK(f.tested.take_finished().empty());
     CHECK(f.tested.take_starts().size() == 1);
 }
+
+TEST_CASE("a refused connection shows that an endpoint has crashed")
+{
+    dispatcher_fixture f(4);
+    f.tested.submit(make_spec("a", 1), "home", f.now);
+    for (int i = 0; i < 2; ++i)
+    {
+        auto const starts = f.tested.take_starts();
+        REQUIRE(starts.size() == 1);
+        auto const id = starts[0].endpoint;
+        f.tested.start_answered(
+            starts[0],
+            f.models.at(id).start(starts[0], f.clock(), run_time, false),
+            f.clock(), f.now);
+        f.tested.list_failed(id, order_response::connection_refused, f.now);
+        f.advance(milliseconds(1'500));
+    }
+    auto const finished = f.tested.take_finished();
+    REQUIRE(finished.size() == 1);
+    CHECK(finished[0].result.end == job_end::failed);
+    CHECK(finished[0].result.reason == end_reason::endpoints_crashed);
+}
+
+TEST_CASE("an endpoint that has left as planned has not crashed")
+{
+    dispatcher_fixture f(4);
+    f.tested.submit(make_spec("a", 1), "home", f.now);
+    for (int i = 0; i < 2; ++i)
+    {
+        auto const starts = f.tested.take_starts();
+        REQUIRE(starts.size() == 1);
+        auto const id = starts[0].endpoint;
+        f.tested.start_answered(
+            starts[0],
+            f.models.at(id).start(starts[0], f.clock(), run_time, false),
+            f.clock(), f.now);
+        auto record = make_endpoint(id);
+        record.stage = endpoint_stage::draining;
+        f.tested.update_endpoint(record);
+        f.tested.list_failed(id, order_response::connection_refused, f.now);
+        f.advance(milliseconds(1'500));
+    }
+    CHECK(f.tested.take_finished().empty());
+    CHECK(f.tested.take_starts().size() == 1);
+}
--- a/libs/gateway/src/endpoint_io.cpp
+++ b/libs/gateway/src/endpoint_io.cpp
@@ -28,8 +28,10 @@
 
 dispatch::order_response response_of(transport::call_failure const& failed)
 {
-    return failed.stage == transport::call_stage::written
-               ? dispatch::order_response::unanswered
+    if (failed.stage == transport::call_stage::written)
+        return dispatch::order_response::unanswered;
+    return failed.error.code == result_code::peer_unreachable
+               ? dispatch::order_response::connection_refused
                : dispatch::order_response::not_sent;
 }
 
--- a/libs/gateway/src/peer_wire.cpp
+++ b/libs/gateway/src/peer_wire.cpp
@@ -224,7 +224,7 @@
     constexpr auto last_end =
         static_cast<std::int32_t>(dispatch::job_end::unknown);
     constexpr auto last_reason =
-        static_cast<std::int32_t>(dispatch::end_reason::busy_cell);
+        static_cast<std::int32_t>(dispatch::end_reason::endpoints_crashed);
     if (reply.outcome >= 0 && reply.outcome <= last_end)
         converted.end = static_cast<dispatch::job_end>(reply.outcome);
     if (reply.reason >= 0 && reply.reason <= last_reason)
--- a/libs/transport/include/transport/http_client.hpp
+++ b/libs/transport/include/transport/http_client.hpp
@@ -31,7 +31,8 @@
 std::string_view name_of(call_stage stage);
 
 /// A failed call. With `call_stage::written` the server may have acted on the
-/// request; with the other stages it has not.
+/// request; with the other stages it has not. The code is `peer_unreachable` if
+/// no process listens at the address.
 struct call_failure
 {
     call_stage stage = call_stage::not_connected;
--- a/libs/transport/src/http_client.cpp
+++ b/libs/transport/src/http_client.cpp
@@ -87,6 +87,8 @@
 
 result_code code_of(beast::error_code error)
 {
+    if (error == asio::error::connection_refused)
+        return result_code::peer_unreachable;
     if (error == beast::error::timeout)
         return result_code::deadline_passed;
     if (error == http::error::body_limit)
@@ -253,7 +255,7 @@
         auto [connect_error] =
             co_await created->stream.async_connect(target, as_values);
         if (connect_error)
-            co_return failed(call_stage::not_connected, result_code::io_error,
+            co_return failed(call_stage::not_connected, code_of(connect_error),
                              connect_error.message());
         set_options(created->stream.socket());
         co_return created;
--- a/libs/transport/tests/http_test.cpp
+++ b/libs/transport/tests/http_test.cpp
@@ -128,6 +128,7 @@
             auto const refused = co_await f.call(client, port, plain);
             REQUIRE_FALSE(refused.has_value());
             CHECK(refused.error().stage == call_stage::not_connected);
+            CHECK(refused.error().error.code == result_code::peer_unreachable);
         });
 }
 
