A start that a crashed endpoint has not confirmed is no crash under its task

Cause: counted each run that was lost with an ended process, also one whose start got no response. Such an order may never have reached the endpoint, so that one crash and one lost order gave the task up.

Change: the evidence is kept with each crash. Only runs that the endpoint had confirmed show that a task has failed. A task with three crashes of either kind is not started again for 15 s; its job's outcome is unknown, also when it is submitted again, so that a task that crashes its endpoints before they confirm it stays within the bound too.

--- a/libs/dispatch/src/crash_history.cpp
+++ b/libs/dispatch/src/crash_history.cpp
@@ -1,5 +1,7 @@
 #include "crash_history.hpp"
 
+#include <utility>
+
 namespace masticshift::dispatch
 {
 
@@ -8,7 +10,10 @@
 
 /// The first crash may be that of a neighbour on the endpoint; a task runs
 /// alone after it.
-constexpr int max_crashes = 2;
+constexpr int max_certain = 2;
+
+/// A start that was not confirmed may not have reached the endpoint.
+constexpr int max_crashes = 3;
 
 /// Callers submit a job again 1.3 s after a lost answer.
 constexpr milliseconds retention{15'000};
@@ -17,32 +22,51 @@
 
 } // namespace
 
-int crash_history::record(std::string const& task, time_point now)
+void crash_history::record(std::string const& task, crash_evidence evidence,
+                           time_point now)
 {
-    while (!recorded_.empty() && (now - recorded_.front().first > retention ||
+    while (!recorded_.empty() && (now - recorded_.front().at > retention ||
                                   recorded_.size() >= max_recorded))
         forget_oldest();
-    recorded_.emplace_back(now, task);
-    return ++crashes_[task];
+    recorded_.push_back({now, task, evidence});
+    add(recorded_.back(), 1);
+}
+
+crash_verdict crash_history::verdict(std::string const& task) const
+{
+    auto const found = counts_.find(task);
+    if (found == counts_.end())
+        return crash_verdict::may_run;
+    if (found->second.certain >= max_certain)
+        return crash_verdict::failed;
+    return crashes(task) >= max_crashes ? crash_verdict::unknown
+                                        : crash_verdict::may_run;
 }
 
 int crash_history::crashes(std::string const& task) const
 {
-    auto const found = crashes_.find(task);
-    return found == crashes_.end() ? 0 : found->second;
+    auto const found = counts_.find(task);
+    return found == counts_.end()
+               ? 0
+               : found->second.certain + found->second.possible;
 }
 
-bool crash_history::is_limit(int crashes)
+void crash_history::add(entry const& crash, int number)
 {
-    return crashes >= max_crashes;
+    auto& counted = counts_[crash.task];
+    if (crash.evidence == crash_evidence::certain)
+        counted.certain += number;
+    else
+        counted.possible += number;
 }
 
 void crash_history::forget_oldest()
 {
-    auto const found = crashes_.find(recorded_.front().second);
-    if (--found->second == 0)
-        crashes_.erase(found);
+    auto const oldest = std::move(recorded_.front());
     recorded_.pop_front();
+    add(oldest, -1);
+    if (crashes(oldest.task) == 0)
+        counts_.erase(oldest.task);
 }
 
 } // namespace masticshift::dispatch
--- a/libs/dispatch/src/crash_history.hpp
+++ b/libs/dispatch/src/crash_history.hpp
@@ -6,30 +6,63 @@
 #include <deque>
 #include <string>
 #include <unordered_map>
-#include <utility>
 
 namespace masticshift::dispatch
 {
 
+/// Whether an endpoint has crashed while it ran a task.
+enum class crash_evidence
+{
+    none,
+    /// It has crashed, but has not confirmed that it started the run.
+    possible,
+    certain
+};
+
+/// What the crashes under a task allow.
+enum class crash_verdict
+{
+    may_run,
+    /// The task crashes its endpoints.
+    failed,
+    /// It may do so, and must not be started again.
+    unknown
+};
+
 /// Counts the endpoints that crashed while they ran a task. Outlives the job,
 /// because its caller may submit it again.
 class crash_history
 {
 public:
-    /// Adds a crash and returns the number of crashes under this task.
-    int record(std::string const& task, time_point now);
+    /// `evidence` must not be `none`.
+    void record(std::string const& task, crash_evidence evidence,
+                time_point now);
 
-    int crashes(std::string const& task) const;
+    crash_verdict verdict(std::string const& task) const;
 
-    /// Whether this many crashes are enough to give the task up.
-    static bool is_limit(int crashes);
+    /// Number of certain and possible crashes.
+    int crashes(std::string const& task) const;
 
 private:
+    struct counts
+    {
+        int certain = 0;
+        int possible = 0;
+    };
+
+    struct entry
+    {
+        time_point at;
+        std::string task;
+        crash_evidence evidence = crash_evidence::none;
+    };
+
+    void add(entry const& crash, int number);
     void forget_oldest();
 
-    std::unordered_map<std::string, int> crashes_;
+    std::unordered_map<std::string, counts> counts_;
     /// The oldest first.
-    std::deque<std::pair<time_point, std::string>> recorded_;
+    std::deque<entry> recorded_;
 };
 
 } // namespace masticshift::dispatch
--- a/libs/dispatch/src/dispatcher_impl.hpp
+++ b/libs/dispatch/src/dispatcher_impl.hpp
@@ -1,7 +1,6 @@
 #ifndef MASTICSHIFT_DISPATCH_DISPATCHER_IMPL_HPP
 #define MASTICSHIFT_DISPATCH_DISPATCHER_IMPL_HPP
 
-#include "crash_history.hpp"
 #include "endpoint_account.hpp"
 #include "placement_choice.hpp"
 #include "tracked_job.hpp"
@@ -99,10 +98,11 @@
     void task_failed(endpoint_account& account, finished_run const& finished,
                      time_point now);
     void task_lost(finished_run const& finished, time_point now);
-    /// An endpoint has crashed under the task, as others have before:
-    /// `crashes` in all.
-    void task_crashed(finished_run const& finished, int crashes,
-                      time_point now);
+    /// The run was lost with an endpoint that has crashed.
+    void task_crashed(finished_run const& finished, time_point now);
+    /// Ends the job if too many endpoints have crashed under one of its tasks.
+    /// Returns whether it did.
+    bool give_up_crashing(job_ptr const& job, time_point now);
     void requeue_task(job_ptr const& job, std::size_t index, time_point now);
     /// Reacts to a start order without a response.
     void start_unanswered(endpoint_account& account, run_key const& key,
--- a/libs/dispatch/src/dispatcher_jobs.cpp
+++ b/libs/dispatch/src/dispatcher_jobs.cpp
@@ -95,17 +95,8 @@
         std::chrono::duration_cast<duration>(chain * job->spec.slack_factor) +
         job->spec.target_latency;
     jobs_[job->spec.id] = job;
-    bool const crashes_endpoints = std::ranges::any_of(
-        job->tasks,
-        [&](task_state const& task)
-        {
-            return crash_history::is_limit(crash_history_.crashes(task.name));
-        });
-    if (crashes_endpoints)
-    {
-        finish(job, {job_end::failed, end_reason::endpoints_crashed}, now);
+    if (give_up_crashing(job, now))
         return;
-    }
     if (retiring_)
     {
         finish(job, {job_end::refused, end_reason::not_dispatcher}, now);
--- a/libs/dispatch/src/dispatcher_placement.cpp
+++ b/libs/dispatch/src/dispatcher_placement.cpp
@@ -188,14 +188,15 @@
     if (live != live_runs_.end() && --live->second == 0)
         live_runs_.erase(live);
     // Counts also for a job that has ended: its caller may submit it again.
-    bool const crashed = !finished.end && finished.run.endpoint_crashed;
-    auto const crashes =
-        crashed ? crash_history_.record(finished.key.task, now) : 0;
+    bool const crashed =
+        !finished.end && finished.run.crash != crash_evidence::none;
+    if (crashed)
+        crash_history_.record(finished.key.task, finished.run.crash, now);
     auto const& job = finished.run.job;
     if (!job || job->ended)
         return;
     if (crashed)
-        task_crashed(finished, crashes, now);
+        task_crashed(finished, now);
     else if (finished.end == run_end::done)
         task_done(account, finished, now);
     else if (finished.end == run_end::failed)
@@ -251,18 +252,39 @@
         requeue_task(job, finished.run.task, now);
 }
 
-void dispatcher::impl::task_crashed(finished_run const& finished, int crashes,
+void dispatcher::impl::task_crashed(finished_run const& finished,
                                     time_point now)
 {
     auto const& job = finished.run.job;
     record_decision("task_ended", *job, finished.key.task,
-                    job->tasks[finished.run.task].endpoint, "crashed", crashes);
-    if (crash_history::is_limit(crashes))
-        finish(job, {job_end::failed, end_reason::endpoints_crashed}, now);
-    else
+                    job->tasks[finished.run.task].endpoint,
+                    finished.run.crash == crash_evidence::certain
+                        ? "crashed"
+                        : "crashed_unconfirmed",
+                    crash_history_.crashes(finished.key.task));
+    if (!give_up_crashing(job, now))
         requeue_task(job, finished.run.task, now);
 }
 
+bool dispatcher::impl::give_up_crashing(job_ptr const& job, time_point now)
+{
+    bool failed = false;
+    bool unknown = false;
+    for (auto const& task : job->tasks)
+    {
+        auto const verdict = crash_history_.verdict(task.name);
+        failed = failed || verdict == crash_verdict::failed;
+        unknown = unknown || verdict == crash_verdict::unknown;
+    }
+    if (!failed && !unknown)
+        return false;
+    finish(job,
+           {failed ? job_end::failed : job_end::unknown,
+            end_reason::endpoints_crashed},
+           now);
+    return true;
+}
+
 void dispatcher::impl::requeue_task(job_ptr const& job, std::size_t index,
                                     time_point now)
 {
--- a/libs/dispatch/src/endpoint_account.cpp
+++ b/libs/dispatch/src/endpoint_account.cpp
@@ -224,7 +224,7 @@
     }
     auto& run = found->second;
     run.listed = now;
-    run.endpoint_crashed = false;
+    run.crash = crash_evidence::none;
     if (run.phase == run_phase::starting)
     {
         run.phase = run_phase::running;
@@ -300,8 +300,11 @@
 
 void endpoint_account::mark_crashed()
 {
+    if (record_.stage != endpoint_stage::ready)
+        return;
     for (auto& [key, run] : runs_)
-        run.endpoint_crashed = record_.stage == endpoint_stage::ready;
+        run.crash = run.phase == run_phase::starting ? crash_evidence::possible
+                                                     : crash_evidence::certain;
 }
 
 void endpoint_account::record_capacity_mismatch()
--- a/libs/dispatch/src/endpoint_account.hpp
+++ b/libs/dispatch/src/endpoint_account.hpp
@@ -1,6 +1,7 @@
 #ifndef MASTICSHIFT_DISPATCH_ENDPOINT_ACCOUNT_HPP
 #define MASTICSHIFT_DISPATCH_ENDPOINT_ACCOUNT_HPP
 
+#include "crash_history.hpp"
 #include "tracked_job.hpp"
 
 #include <dispatch/endpoint_calls.hpp>
@@ -52,8 +53,8 @@
     /// An endpoint has crashed under the task before: nothing else is placed
     /// beside it.
     bool alone = false;
-    /// The endpoint's process has ended since the run was last listed.
-    bool endpoint_crashed = false;
+    /// Whether the endpoint's process has ended since the run was last listed.
+    crash_evidence crash = crash_evidence::none;
     /// Set when the endpoint has confirmed a stop.
     std::optional<time_point> stop_confirmed;
     time_point stop_sent;
--- a/libs/dispatch/tests/crashing_task_test.cpp
+++ b/libs/dispatch/tests/crashing_task_test.cpp
@@ -213,3 +213,57 @@
     CHECK(f.tested.take_finished().empty());
     CHECK(f.tested.take_starts().size() == 1);
 }
+
+// Seen as LOST: a harmless job was shown as failed after one crash and one
+// order that its endpoint never received.
+TEST_CASE("a start that a crashed endpoint has not confirmed is no crash under "
+          "its task")
+{
+    dispatcher_fixture f(6);
+    auto spec = make_spec("a", 1);
+    spec.caller_timeout = milliseconds(60'000);
+    f.tested.submit(spec, "home", f.now);
+    CHECK(start_and_crash(f, "a") == 1);
+    auto const lost = f.tested.take_starts();
+    REQUIRE(lost.size() == 1);
+    f.tested.start_answered(lost[0], order_response::unanswered, std::nullopt,
+                            f.now);
+    f.tested.list_failed(lost[0].endpoint, order_response::connection_refused,
+                         f.now);
+    f.tested.take_starts();
+    f.advance(milliseconds(1'500));
+    f.read_all();
+    CHECK(f.tested.take_finished().empty());
+    CHECK(f.tested.take_starts().size() == 1);
+}
+
+TEST_CASE(
+    "a task that may have crashed three endpoints before they confirmed it "
+    "is not started again")
+{
+    dispatcher_fixture f(8);
+    auto spec = make_spec("a", 1);
+    spec.caller_timeout = milliseconds(60'000);
+    int starts = 0;
+    for (int submission = 0; submission < 3; ++submission)
+    {
+        f.tested.submit(spec, "home", f.now);
+        for (int i = 0; i < 8; ++i)
+        {
+            for (auto const& order : f.tested.take_starts())
+            {
+                ++starts;
+                f.tested.start_answered(order, order_response::unanswered,
+                                        std::nullopt, f.now);
+                f.tested.list_failed(order.endpoint,
+                                     order_response::connection_refused, f.now);
+                f.tested.take_starts();
+            }
+            f.advance(milliseconds(1'100));
+        }
+        auto const finished = f.tested.take_finished();
+        REQUIRE(finished.size() == 1);
+        CHECK(finished[0].result.end == job_end::unknown);
+    }
+    CHECK(starts == 3);
+}
