--- a/libs/gateway/tests/gateway_test.cpp
+++ b/libs/gateway/tests/gateway_test.cpp
@@ -250,6 +250,38 @@
     CHECK(fixture.platform().findings().late_starts.empty());
 }
 
+// The reported DRAIN: endpoints say that they drain shortly before the only
+// entry of their data centre is gone, and an entry elsewhere takes their cell
+// over.
+TEST_CASE(
+    "an entry that takes over a cell of another data centre starts nothing "
+    "on endpoints that have drained meanwhile")
+{
+    deployment fixture;
+    fixture.add_endpoints("north", 2);
+    fixture.add_endpoints("south", 1);
+    fixture.add_gateway("north", 0.25);
+    fixture.add_gateway("south", 0.5);
+    fixture.add_gateway("south", 0.25);
+    for (std::size_t i = 0; i < 3; ++i)
+        REQUIRE(fixture.run_until_ready(i));
+    fixture.run(milliseconds(1'500));
+    fixture.platform().drain_endpoint("north0");
+    fixture.run(test_support::drain_limit);
+    fixture.platform().faults().store_delay = milliseconds(450);
+    fixture.at(0).drain();
+    std::vector<std::shared_ptr<deployment::pending_answer>> jobs;
+    for (unsigned i = 1; i <= 200; ++i)
+    {
+        jobs.push_back(fixture.submit(1, i, 4));
+        fixture.run(milliseconds(10));
+    }
+    REQUIRE(run_until_answered(fixture, jobs));
+    CHECK(fixture.status_json(2).find(R"("cell":"north/0/1")") !=
+          std::string::npos);
+    CHECK(fixture.platform().findings().late_starts.empty());
+}
+
 // Many rows of the table of endpoints change at once, for example when all
 // registrations are back after an outage of the store.
 TEST_CASE("a dispatcher learns in time that an endpoint drains although many "
