A crash is certain only for runs that were seen a moment before

What callers would see: a harmless job answered as failed (LOST): a process that was paused finds an endpoint crashed, and counts runs that had ended long before; a run that we had stopped counts as crashed with its endpoint.

Cause: every confirmed run of an endpoint whose process has ended counted as a certain crash, whenever it was last seen.

--- a/libs/dispatch/src/crash_history.hpp
+++ b/libs/dispatch/src/crash_history.hpp
@@ -14,7 +14,8 @@
 enum class crash_evidence
 {
     none,
-    /// It has crashed, but has not confirmed that it started the run.
+    /// It has crashed, but the run may not have started or may have ended
+    /// before.
     possible,
     certain
 };
--- a/libs/dispatch/src/dispatcher.cpp
+++ b/libs/dispatch/src/dispatcher.cpp
@@ -64,11 +64,11 @@
 }
 
 void dispatcher::impl::check_process(endpoint_account& account,
-                                     order_response response)
+                                     order_response response, time_point now)
 {
     bool const ended = response == order_response::connection_refused ||
                        response == order_response::other_instance;
-    if (ended && account.record_process_ended())
+    if (ended && account.record_process_ended(now))
         decisions_.push_back({"endpoint_process_ended",
                               {},
                               {},
@@ -173,7 +173,7 @@
         return;
     decisions_.push_back(
         {"list_failed", {}, {}, endpoint, name_of(response), 0});
-    check_process(*account, response);
+    check_process(*account, response, now);
     if (response == order_response::outranked)
         account->record_outranked();
     else
--- a/libs/dispatch/src/dispatcher_impl.hpp
+++ b/libs/dispatch/src/dispatcher_impl.hpp
@@ -111,7 +111,8 @@
                        time_point now);
     /// Reacts to a response that shows whether the endpoint's process has
     /// ended.
-    void check_process(endpoint_account& account, order_response response);
+    void check_process(endpoint_account& account, order_response response,
+                       time_point now);
     void record_success(endpoint_account& account);
     void record_failure(endpoint_account& account, endpoint_failure reason,
                         time_point now);
--- a/libs/dispatch/src/dispatcher_placement.cpp
+++ b/libs/dispatch/src/dispatcher_placement.cpp
@@ -343,7 +343,7 @@
     if (found == account->runs().end())
         return;
     auto& run = found->second;
-    check_process(*account, response);
+    check_process(*account, response, now);
     if (run.job && response != order_response::accepted)
         record_decision("start_answered", *run.job, order.run.task,
                         order.endpoint, name_of(response),
@@ -408,7 +408,7 @@
     auto* const account = find(order.endpoint);
     if (account == nullptr)
         return;
-    check_process(*account, response);
+    check_process(*account, response, now);
     if (response == order_response::outranked)
         account->record_outranked();
     auto const found = account->runs().find(order.run);
--- a/libs/dispatch/src/endpoint_account.cpp
+++ b/libs/dispatch/src/endpoint_account.cpp
@@ -60,14 +60,15 @@
     return true;
 }
 
-bool endpoint_account::reset_if_restarted(std::int64_t started_ms)
+bool endpoint_account::reset_if_restarted(std::int64_t started_ms,
+                                          std::optional<time_point> now)
 {
     if (started_ms == 0 || started_ms == record_.started_ms)
         return false;
     bool const known = std::exchange(record_.started_ms, started_ms) != 0;
     if (!known)
         return false;
-    mark_crashed();
+    mark_crashed(now);
     clock_.reset();
     seen_end_ = acknowledged_end_ = 0;
     if (link_ != endpoint_link::outranked)
@@ -242,7 +243,7 @@
 {
     list_changes changes;
     process_ended_ = false;
-    reset_if_restarted(list.started_ms);
+    reset_if_restarted(list.started_ms, now);
     if (link_ != endpoint_link::outranked)
         link_ = endpoint_link::active;
     for (auto const& ended : list.ended)
@@ -292,19 +293,27 @@
     link_ = endpoint_link::outranked;
 }
 
-bool endpoint_account::record_process_ended()
+bool endpoint_account::record_process_ended(time_point now)
 {
-    mark_crashed();
+    mark_crashed(now);
     return !std::exchange(process_ended_, true);
 }
 
-void endpoint_account::mark_crashed()
+void endpoint_account::mark_crashed(std::optional<time_point> found)
 {
     if (record_.stage != endpoint_stage::ready)
         return;
     for (auto& [key, run] : runs_)
-        run.crash = run.phase == run_phase::starting ? crash_evidence::possible
-                                                     : crash_evidence::certain;
+    {
+        if (run.crash != crash_evidence::none)
+            continue;
+        auto const last_seen = std::max(run.confirmed, run.listed);
+        bool const was_running = run.phase == run_phase::running &&
+                                 !run.unwanted && found &&
+                                 *found - last_seen <= unresponsive_after;
+        run.crash =
+            was_running ? crash_evidence::certain : crash_evidence::possible;
+    }
 }
 
 void endpoint_account::record_capacity_mismatch()
--- a/libs/dispatch/src/endpoint_account.hpp
+++ b/libs/dispatch/src/endpoint_account.hpp
@@ -146,7 +146,10 @@
     /// shows a new incarnation of the endpoint, and returns whether it did. The
     /// runs stay until the next list shows which have ended, because a start
     /// order in transit may have reached the new incarnation.
-    bool reset_if_restarted(std::int64_t started_ms);
+    ///
+    /// `now` is the time of the endpoint's own report, if it comes from one.
+    bool reset_if_restarted(std::int64_t started_ms,
+                            std::optional<time_point> now = std::nullopt);
 
     /// Free capacity for further tasks. None while a foreign run is known.
     resources free() const;
@@ -193,7 +196,7 @@
     void record_call_failure(time_point now);
     void record_outranked();
     /// The process of the endpoint has ended. Returns whether that was new.
-    bool record_process_ended();
+    bool record_process_ended(time_point now);
     /// The endpoint has less free capacity than accounted here: it is listed
     /// before the next start.
     void record_capacity_mismatch();
@@ -217,9 +220,10 @@
     void apply_active(active_run const& seen, time_point sent, time_point now,
                       list_changes& changes);
     void record_lease(std::int64_t lease_until);
-    /// Marks the runs as lost with the process. An endpoint that drains ends as
-    /// planned, and has not crashed.
-    void mark_crashed();
+    /// Marks the runs as lost with the process, which was found to have ended
+    /// at `found`; without it, as possibly lost. An endpoint that drains ends
+    /// as planned, and has not crashed.
+    void mark_crashed(std::optional<time_point> found);
     finished_run take(run_map::iterator place, std::optional<run_end> end);
     std::vector<finished_run> take_all();
 
--- a/libs/dispatch/tests/crashing_task_test.cpp
+++ b/libs/dispatch/tests/crashing_task_test.cpp
@@ -267,3 +267,52 @@
     }
     CHECK(starts == 3);
 }
+
+// A process that was paused finds endpoints crashed; what ran there may have
+// ended before.
+TEST_CASE("a crash that is noticed long after the last list is not certain")
+{
+    dispatcher_fixture f(6);
+    auto spec = make_spec("a", 1);
+    spec.caller_timeout = milliseconds(60'000);
+    f.tested.submit(spec, "home", f.now);
+    for (int i = 0; i < 2; ++i)
+    {
+        auto const starts = f.tested.take_starts();
+        REQUIRE(starts.size() == 1);
+        auto const id = starts[0].endpoint;
+        f.tested.start_answered(
+            starts[0],
+            f.models.at(id).start(starts[0], f.clock(), run_time, false),
+            f.clock(), f.now);
+        f.now += milliseconds(3'000);
+        f.tested.list_failed(id, order_response::connection_refused, f.now);
+        f.advance(milliseconds(10));
+    }
+    CHECK(f.tested.take_finished().empty());
+    CHECK(f.tested.take_starts().size() == 1);
+}
+
+TEST_CASE("a crash while a run is being stopped is not certain")
+{
+    dispatcher_fixture f(6);
+    auto const spec = make_spec("a", 1);
+    for (int i = 0; i < 2; ++i)
+    {
+        f.tested.submit(spec, "home", f.now);
+        auto const starts = f.tested.take_starts();
+        REQUIRE(starts.size() == 1);
+        auto const id = starts[0].endpoint;
+        auto const response =
+            f.models.at(id).start(starts[0], f.clock(), run_time, false);
+        REQUIRE(response == order_response::accepted);
+        f.tested.start_answered(starts[0], response, f.clock(), f.now);
+        f.tested.withdraw("a", "home", f.now);
+        f.tested.list_failed(id, order_response::connection_refused, f.now);
+        f.models.at(id).restart(2'000);
+        f.advance(milliseconds(1'500));
+        f.tested.take_finished();
+    }
+    f.tested.submit(spec, "home", f.now);
+    CHECK(f.tested.take_finished().empty());
+}
