--- a/libs/dispatch/tests/dispatcher_test.cpp
+++ b/libs/dispatch/tests/dispatcher_test.cpp
@@ -28,6 +28,29 @@
     CHECK(starts.size() == 2);
 }
 
+TEST_CASE("an endpoint whose capacity has shrunk gets no more than fits, also "
+          "while a run is being stopped, and more when it has grown again")
+{
+    dispatcher_fixture f(1);
+    f.tested.submit(make_spec("a", 2), "home", f.now);
+    f.deliver_orders();
+    CHECK(f.tested.runs() == 2);
+    auto shrunk = make_endpoint("e0");
+    shrunk.capacity.processor = 7'000;
+    f.tested.update_endpoint(shrunk);
+    f.tested.submit(make_spec("b", 2), "home", f.now);
+    f.tested.withdraw("a", "home", f.now);
+    CHECK(f.tested.take_starts().empty());
+    f.deliver_orders();
+    f.advance(milliseconds(10));
+    f.read_all();
+    CHECK(f.tested.runs() == 1);
+    f.deliver_orders();
+    f.tested.update_endpoint(make_endpoint("e0"));
+    f.advance(milliseconds(10));
+    CHECK(f.tested.runs() == 2);
+}
+
 TEST_CASE("a job that no endpoint could ever run is refused at once")
 {
     dispatcher_fixture f(1);
