Runs that a dispatcher stops itself do not count as lost

Cause: task_lost counted each run that ended without a result, also those that this dispatcher had stopped as slow or stuck. A task whose declared run time was far too short was stopped again and again, also twice on the same endpoint, since the stopped run freed capacity there first; the fifth stop ended the job.

A run that the dispatcher stopped counts against nothing. A task is restarted once at most as slow and four times as stuck; the run after that is left alone. The next run goes to another endpoint, unless there is none. Whether a restart pays is judged by other endpoints only.

Silent endpoints still count (crashing_task_test "... fell silent twice ..."). A run that lapses, or that another dispatcher stops, counts as before.

restarted_run_test: three of four cases failed before; the one about a single endpoint passed.

--- a/libs/dispatch/src/dispatcher_impl.hpp
+++ b/libs/dispatch/src/dispatcher_impl.hpp
@@ -97,6 +97,8 @@
                    time_point now);
     void task_failed(endpoint_account& account, finished_run const& finished,
                      time_point now);
+    /// The run was stopped by this dispatcher.
+    void task_stopped(finished_run const& finished, time_point now);
     void task_lost(finished_run const& finished, time_point now);
     /// The run was lost with an endpoint that has crashed.
     void task_crashed(finished_run const& finished, time_point now);
--- a/libs/dispatch/src/dispatcher_placement.cpp
+++ b/libs/dispatch/src/dispatcher_placement.cpp
@@ -2,6 +2,7 @@
 #include "progress_check.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace masticshift::dispatch
 {
@@ -13,6 +14,10 @@
 /// Detecting each takes up to the length of a lease.
 constexpr int max_lost_runs = 4;
 
+/// Number of runs of a task that are stopped because they make no progress.
+/// The next run is left alone.
+constexpr int max_stuck_runs = 4;
+
 /// Run numbers skipped when an endpoint has seen a later run of the task, from
 /// an earlier submission of the job. Such a submission starts a task only a few
 /// times.
@@ -32,6 +37,36 @@
 /// trips.
 constexpr milliseconds stop_resend_interval{100};
 
+/// Whether the run ended because this dispatcher stopped it.
+bool was_stopped(finished_run const& finished)
+{
+    return finished.run.unwanted &&
+           (finished.end == run_end::stopped ||
+            (!finished.end && finished.run.stop_confirmed));
+}
+
+/// Whether the present run of the task is to be stopped, so that it starts on
+/// another endpoint. Counts the restart if so.
+bool note_restart(task_state& task, progress judged)
+{
+    switch (judged)
+    {
+    case progress::as_expected:
+        return false;
+    case progress::slow:
+        if (std::exchange(task.restarted_as_slow, true))
+            return false;
+        break;
+    case progress::stuck:
+        if (task.stuck_runs >= max_stuck_runs)
+            return false;
+        ++task.stuck_runs;
+        break;
+    }
+    task.avoided = task.endpoint;
+    return true;
+}
+
 } // namespace
 
 std::int64_t dispatcher::impl::largest_free() const
@@ -127,9 +162,13 @@
     placement_choice const choice(accounts_, speeds_, limits_.remote_factor);
     bool const late = now > job->objective - chain_time(job->spec);
     auto const finish_by = late ? time_point::max() : job->objective;
-    bool const alone = crash_history_.crashes(task.name) > 0;
+    run_history history;
+    history.alone = crash_history_.crashes(task.name) > 0;
+    if (!task.avoided.empty() &&
+        choice.has_other_than(task.avoided, *job, step))
+        history.avoided = task.avoided;
     auto const place =
-        choice.choose(*job, step, task.step, finish_by, now, alone);
+        choice.choose(*job, step, task.step, finish_by, now, history);
     if (place.endpoint == nullptr)
         return false;
     task.phase = task_phase::placed;
@@ -141,7 +180,7 @@
     run.job = job;
     run.task = index;
     run.need = step.need;
-    run.alone = alone;
+    run.alone = history.alone;
     run.expected = place.expected;
     auto const until = place.endpoint->add_run(key, run, now);
     ++live_runs_[task.name];
@@ -201,6 +240,8 @@
         task_done(account, finished, now);
     else if (finished.end == run_end::failed)
         task_failed(account, finished, now);
+    else if (was_stopped(finished))
+        task_stopped(finished, now);
     else
         task_lost(finished, now);
 }
@@ -238,6 +279,16 @@
         requeue_task(job, finished.run.task, now);
 }
 
+void dispatcher::impl::task_stopped(finished_run const& finished,
+                                    time_point now)
+{
+    auto const& job = finished.run.job;
+    record_decision("task_ended", *job, finished.key.task,
+                    job->tasks[finished.run.task].endpoint, "stopped",
+                    finished.run.percent);
+    requeue_task(job, finished.run.task, now);
+}
+
 void dispatcher::impl::task_lost(finished_run const& finished, time_point now)
 {
     auto const& job = finished.run.job;
@@ -428,8 +479,10 @@
     auto const& task = run.job->tasks[run.task];
     auto const& step = run.job->spec.steps[static_cast<std::size_t>(task.step)];
     placement_choice const choice(accounts_, speeds_, limits_.remote_factor);
-    auto const place =
-        choice.choose(*run.job, step, task.step, time_point::max(), now);
+    run_history history;
+    history.avoided = task.endpoint;
+    auto const place = choice.choose(*run.job, step, task.step,
+                                     time_point::max(), now, history);
     return place.endpoint == nullptr ? duration::max() / 8 : place.expected;
 }
 
@@ -442,9 +495,9 @@
             run.job->ended || now - run.confirmed < run.expected)
             continue;
         auto const judged = judge_progress(run, restart_time(run, now), now);
-        if (judged == progress::as_expected)
+        auto& task = run.job->tasks[run.task];
+        if (!note_restart(task, judged))
             continue;
-        auto const& task = run.job->tasks[run.task];
         auto const& step =
             run.job->spec.steps[static_cast<std::size_t>(task.step)];
         speeds_.observe_lower_bound(run.job->spec.queue, account.record().vm,
--- a/libs/dispatch/src/placement_choice.cpp
+++ b/libs/dispatch/src/placement_choice.cpp
@@ -73,21 +73,23 @@
 
 placement placement_choice::choose(tracked_job const& job, job_step const& step,
                                    int step_number, time_point finish_by,
-                                   time_point now, bool alone) const
+                                   time_point now,
+                                   run_history const& history) const
 {
     using rank = std::tuple<bool, bool, int, std::int64_t>;
     placement best;
     rank best_rank;
     for (auto const& [id, account] : accounts_)
     {
-        if (!admits(*account, job, step, step_number, now))
+        if (id == history.avoided ||
+            !admits(*account, job, step, step_number, now))
             continue;
         auto const expected = expected_on(*account, job, step);
         if (now + expected > finish_by)
             continue;
         auto const trusted =
             account->health().trust(now) == endpoint_trust::full;
-        bool const shared = alone && !account->runs().empty();
+        bool const shared = history.alone && !account->runs().empty();
         rank const candidate{shared, !trusted, speed_class(expected),
                              account->free().processor};
         if (best.endpoint != nullptr && candidate >= best_rank)
@@ -118,6 +120,22 @@
     return places;
 }
 
+bool placement_choice::has_other_than(std::string const& id,
+                                      tracked_job const& job,
+                                      job_step const& step) const
+{
+    return std::ranges::any_of(
+        accounts_,
+        [&](auto const& each)
+        {
+            auto const& record = each.second->record();
+            return record.id != id &&
+                   each.second->link() == endpoint_link::active &&
+                   record.stage == endpoint_stage::ready &&
+                   suits(record, job, step) && fits(step.need, record.capacity);
+        });
+}
+
 bool placement_choice::ever_fits(tracked_job const& job,
                                  job_step const& step) const
 {
--- a/libs/dispatch/src/placement_choice.hpp
+++ b/libs/dispatch/src/placement_choice.hpp
@@ -22,6 +22,15 @@
     duration expected{0};
 };
 
+/// What the earlier runs of a task ask of its next endpoint.
+struct run_history
+{
+    /// Nothing else is to run beside it.
+    bool alone = false;
+    /// Id of an endpoint that is not to be used, or empty.
+    std::string avoided;
+};
+
 /// Chooses endpoints for tasks.
 class placement_choice
 {
@@ -40,7 +49,12 @@
     /// `alone` gets an idle endpoint if there is one.
     placement choose(tracked_job const& job, job_step const& step,
                      int step_number, time_point finish_by, time_point now,
-                     bool alone = false) const;
+                     run_history const& history = {}) const;
+
+    /// Whether an endpoint other than `id` is in use that could run the task
+    /// if it were idle.
+    bool has_other_than(std::string const& id, tracked_job const& job,
+                        job_step const& step) const;
 
     /// Estimates how many tasks could start now on fully trusted endpoints and
     /// end before `finish_by`, from the free processor alone once one task
--- a/libs/dispatch/src/tracked_job.hpp
+++ b/libs/dispatch/src/tracked_job.hpp
@@ -29,9 +29,15 @@
     task_phase phase = task_phase::blocked;
     int failed_runs = 0;
     int lost_runs = 0;
+    /// Number of runs that were stopped because they made no progress.
+    int stuck_runs = 0;
+    /// A run was stopped because a new one was expected to end sooner.
+    bool restarted_as_slow = false;
     std::int64_t last_run = 0;
     /// Endpoint on which it is placed.
     std::string endpoint;
+    /// Endpoint on which its last run was slow or stuck.
+    std::string avoided;
 };
 
 struct tracked_job
