A task has failed only if no other one can have crashed its endpoints

Cause, by a test: two crashes failed a task also when others ran beside it. A task that lost its endpoint runs alone afterwards only where an endpoint is idle; elsewhere it runs beside others, of which one may crash it again.

What the crash of an endpoint says about a task is now told apart. So a run over 50 ms old beside a newer one is a bystander and is not suspected; of several new ones each may be the cause; a single new one is. A job has failed with the second crash under one of its tasks if that task alone can be the cause of it.

--- a/libs/dispatch/src/crash_history.cpp
+++ b/libs/dispatch/src/crash_history.cpp
@@ -1,5 +1,6 @@
 #include "crash_history.hpp"
 
+#include <array>
 #include <utility>
 
 namespace masticshift::dispatch
@@ -8,11 +9,11 @@
 namespace
 {
 
-/// The first crash may be that of a neighbour on the endpoint; a task runs
-/// alone after it.
-constexpr int max_certain = 2;
+/// After the first crash a task runs alone, so that the second one shows
+/// whether it is the cause.
+constexpr int min_failed = 2;
 
-/// A start that was not confirmed may not have reached the endpoint.
+/// Number of crashes after which a task is not started again.
 constexpr int max_crashes = 3;
 
 /// Callers submit a job again 1.3 s after a lost answer.
@@ -20,16 +21,30 @@
 
 constexpr std::size_t max_recorded = 10'000;
 
+constexpr std::array evidence_names{"none", "crashed_unconfirmed",
+                                    "crashed_as_bystander",
+                                    "crashed_with_others", "crashed"};
+
 } // namespace
 
+char const* name_of(crash_evidence evidence)
+{
+    return evidence_names.at(static_cast<std::size_t>(evidence));
+}
+
 void crash_history::record(std::string const& task, crash_evidence evidence,
                            time_point now)
 {
+    if (evidence == crash_evidence::none ||
+        evidence == crash_evidence::bystander)
+        return;
     while (!recorded_.empty() && (now - recorded_.front().at > retention ||
                                   recorded_.size() >= max_recorded))
         forget_oldest();
     recorded_.push_back({now, task, evidence});
     add(recorded_.back(), 1);
+    if (evidence != crash_evidence::possible)
+        counts_.at(task).last = evidence;
 }
 
 crash_verdict crash_history::verdict(std::string const& task) const
@@ -37,7 +52,10 @@
     auto const found = counts_.find(task);
     if (found == counts_.end())
         return crash_verdict::may_run;
-    if (found->second.certain >= max_certain)
+    auto const& counted = found->second;
+    bool const failed = counted.last == crash_evidence::sole &&
+                        counted.sole + counted.shared >= min_failed;
+    if (failed)
         return crash_verdict::failed;
     return crashes(task) >= max_crashes ? crash_verdict::unknown
                                         : crash_verdict::may_run;
@@ -46,18 +64,30 @@
 int crash_history::crashes(std::string const& task) const
 {
     auto const found = counts_.find(task);
-    return found == counts_.end()
-               ? 0
-               : found->second.certain + found->second.possible;
+    if (found == counts_.end())
+        return 0;
+    auto const& counted = found->second;
+    return counted.possible + counted.shared + counted.sole;
 }
 
 void crash_history::add(entry const& crash, int number)
 {
     auto& counted = counts_[crash.task];
-    if (crash.evidence == crash_evidence::certain)
-        counted.certain += number;
-    else
+    switch (crash.evidence)
+    {
+    case crash_evidence::none:
+    case crash_evidence::bystander:
+        return;
+    case crash_evidence::possible:
         counted.possible += number;
+        return;
+    case crash_evidence::shared:
+        counted.shared += number;
+        return;
+    case crash_evidence::sole:
+        counted.sole += number;
+        return;
+    }
 }
 
 void crash_history::forget_oldest()
--- a/libs/dispatch/src/crash_history.hpp
+++ b/libs/dispatch/src/crash_history.hpp
@@ -10,16 +10,23 @@
 namespace masticshift::dispatch
 {
 
-/// Whether an endpoint has crashed while it ran a task.
+/// What the crash of an endpoint says about a task that it ran.
 enum class crash_evidence
 {
+    /// There was no crash.
     none,
-    /// It has crashed, but the run may not have started or may have ended
-    /// before.
+    /// The run may not have started, or may have ended before.
     possible,
-    certain
+    /// It had been running for a while when another task started there.
+    bystander,
+    /// It may have been this task or another one.
+    shared,
+    /// It had just started, and no other task there had.
+    sole
 };
 
+char const* name_of(crash_evidence evidence);
+
 /// What the crashes under a task allow.
 enum class crash_verdict
 {
@@ -35,20 +42,23 @@
 class crash_history
 {
 public:
-    /// `evidence` must not be `none`.
+    /// Does nothing for `none` and `bystander`.
     void record(std::string const& task, crash_evidence evidence,
                 time_point now);
 
     crash_verdict verdict(std::string const& task) const;
 
-    /// Number of certain and possible crashes.
+    /// Number of crashes, also those that are only possible.
     int crashes(std::string const& task) const;
 
 private:
     struct counts
     {
-        int certain = 0;
         int possible = 0;
+        int shared = 0;
+        int sole = 0;
+        /// The last one that was not just possible.
+        crash_evidence last = crash_evidence::none;
     };
 
     struct entry
--- a/libs/dispatch/src/dispatcher_placement.cpp
+++ b/libs/dispatch/src/dispatcher_placement.cpp
@@ -281,9 +281,7 @@
     auto const& job = finished.run.job;
     record_decision("task_ended", *job, finished.key.task,
                     job->tasks[finished.run.task].endpoint,
-                    finished.run.crash == crash_evidence::certain
-                        ? "crashed"
-                        : "crashed_unconfirmed",
+                    name_of(finished.run.crash),
                     crash_history_.crashes(finished.key.task));
     if (!give_up_crashing(job, now))
         requeue_task(job, finished.run.task, now);
--- a/libs/dispatch/src/endpoint_account.cpp
+++ b/libs/dispatch/src/endpoint_account.cpp
@@ -31,6 +31,17 @@
 constexpr milliseconds short_list_wait{20};
 constexpr milliseconds short_waits_after_failure{1'000};
 
+/// A task that crashes its endpoint does so soon after its start: a run of this
+/// age is not the likely cause.
+constexpr milliseconds settling_time{50};
+
+/// Whether the run was certainly started, and long enough ago.
+bool has_settled(placed_run const& run, time_point now)
+{
+    return run.phase == run_phase::running && run.unanswered_starts == 0 &&
+           now - run.confirmed >= settling_time;
+}
+
 constexpr std::array link_names{"unread", "active", "silent", "outranked"};
 
 } // namespace
@@ -309,15 +320,30 @@
     {
         if (run.crash != crash_evidence::none)
             continue;
-        auto const last_seen = std::max(run.confirmed, run.listed);
-        bool const was_running = run.phase == run_phase::running &&
-                                 !run.unwanted && found &&
-                                 *found - last_seen <= unresponsive_after;
         run.crash =
-            was_running ? crash_evidence::certain : crash_evidence::possible;
+            found ? crash_evidence_of(run, *found) : crash_evidence::possible;
     }
 }
 
+crash_evidence endpoint_account::crash_evidence_of(placed_run const& run,
+                                                   time_point found) const
+{
+    auto const last_seen = std::max(run.confirmed, run.listed);
+    if (run.phase != run_phase::running || run.unwanted ||
+        found - last_seen > unresponsive_after)
+        return crash_evidence::possible;
+    bool const other_is_new = std::ranges::any_of(
+        runs_,
+        [&](auto const& each)
+        {
+            return &each.second != &run && !has_settled(each.second, found);
+        });
+    if (has_settled(run, found))
+        return other_is_new ? crash_evidence::bystander
+                            : crash_evidence::shared;
+    return other_is_new ? crash_evidence::shared : crash_evidence::sole;
+}
+
 void endpoint_account::record_capacity_mismatch()
 {
     if (link_ == endpoint_link::active)
--- a/libs/dispatch/src/endpoint_account.hpp
+++ b/libs/dispatch/src/endpoint_account.hpp
@@ -236,6 +236,8 @@
     /// at `found`; without it, as possibly lost. An endpoint that drains ends
     /// as planned, and has not crashed.
     void mark_crashed(std::optional<time_point> found);
+    crash_evidence crash_evidence_of(placed_run const& run,
+                                     time_point found) const;
     finished_run take(run_map::iterator place, std::optional<run_end> end);
     std::vector<finished_run> take_all();
 
--- a/libs/dispatch/tests/crashing_task_test.cpp
+++ b/libs/dispatch/tests/crashing_task_test.cpp
@@ -316,3 +316,140 @@
     f.tested.submit(spec, "home", f.now);
     CHECK(f.tested.take_finished().empty());
 }
+
+// Seen as LOST on a day of deadly-mixed: a job of another kind than the ones
+// that crashed endpoints was shown as failed.
+TEST_CASE("a task whose endpoints crashed under it and its neighbours is not "
+          "given up")
+{
+    dispatcher_fixture f(2);
+    auto const confirm_starts = [&]
+    {
+        std::string used;
+        for (auto const& order : f.tested.take_starts())
+        {
+            used = order.endpoint;
+            auto const response = f.models.at(used).start(
+                order, f.clock(), milliseconds(900), false);
+            f.tested.start_answered(order, response, f.clock(), f.now);
+        }
+        return used;
+    };
+    auto const crash = [&](std::string const& id)
+    {
+        auto& model = f.models.at(id);
+        model.restart(model.record().started_ms + 1);
+        for (int i = 0; i < 2; ++i)
+            f.tested.list_failed(id, order_response::connection_refused, f.now);
+    };
+    for (auto const* const id : {"harmless", "first"})
+    {
+        auto spec = make_spec(id, 1);
+        spec.caller_timeout = milliseconds(60'000);
+        f.tested.submit(spec, "home", f.now);
+    }
+    auto const shared = confirm_starts();
+    f.tested.submit(make_spec("second", 1), "home", f.now);
+    auto const other = confirm_starts();
+    REQUIRE(shared != other);
+    crash(shared);
+    // The only free capacity is beside the second task.
+    CHECK(confirm_starts() == other);
+    CHECK(f.tested.runs() == 2);
+    crash(other);
+    std::vector<finished_job> finished;
+    for (int i = 0; i < 20; ++i)
+    {
+        f.advance(milliseconds(70));
+        f.read_all();
+        f.deliver_orders();
+        for (auto const& each : f.tested.take_finished())
+            finished.push_back(each);
+    }
+    auto const harmless = ended_of(finished, "harmless");
+    REQUIRE(harmless.size() == 1);
+    CHECK(harmless[0].result.end == job_end::completed);
+}
+
+// Bystanders would run alone afterwards and take capacity from others.
+TEST_CASE("a task that was running for a while is not suspected when its "
+          "endpoint crashes just after the start of another one")
+{
+    dispatcher_fixture f(3);
+    auto const confirm = [&](start_order const& order)
+    {
+        auto const response =
+            f.models.at(order.endpoint)
+                .start(order, f.clock(), milliseconds(900), false);
+        f.tested.start_answered(order, response, f.clock(), f.now);
+    };
+    auto const refuse = [&](std::string const& id)
+    {
+        for (int i = 0; i < 2; ++i)
+            f.tested.list_failed(id, order_response::connection_refused, f.now);
+    };
+    f.tested.submit(make_spec("harmless", 1), "home", f.now);
+    auto const first = f.tested.take_starts();
+    REQUIRE(first.size() == 1);
+    confirm(first[0]);
+    f.advance(milliseconds(60));
+    f.read_all();
+    f.tested.submit(make_spec("deadly", 1), "home", f.now);
+    auto const second = f.tested.take_starts();
+    REQUIRE(second.size() == 1);
+    REQUIRE(second[0].endpoint == first[0].endpoint);
+    confirm(second[0]);
+    f.advance(milliseconds(20));
+    refuse(first[0].endpoint);
+    auto const again = f.tested.take_starts();
+    REQUIRE(again.size() == 2);
+    std::map<std::string, std::string> placed;
+    for (auto const& order : again)
+        placed[order.run.task] = order.endpoint;
+    auto const place = placed.at("harmless.0.0.0");
+    CHECK(place != placed.at("deadly.0.0.0"));
+    f.tested.submit(make_spec("later", 1), "home", f.now);
+    auto const later = f.tested.take_starts();
+    REQUIRE(later.size() == 1);
+    CHECK(later[0].endpoint == place);
+    std::vector<std::string> outcomes;
+    for (auto const& each : f.tested.take_decisions())
+    {
+        if (each.event == "task_ended")
+            outcomes.emplace_back(each.outcome);
+    }
+    std::ranges::sort(outcomes);
+    CHECK(outcomes ==
+          std::vector<std::string>{"crashed", "crashed_as_bystander"});
+}
+
+TEST_CASE("a task whose endpoints crash long after its start is not said to "
+          "have failed, and is not started a fourth time")
+{
+    dispatcher_fixture f(6);
+    auto spec = make_spec("a", 1);
+    spec.steps[0].estimate = milliseconds(1'000);
+    spec.caller_timeout = milliseconds(60'000);
+    f.tested.submit(spec, "home", f.now);
+    int starts = 0;
+    for (int i = 0; i < 6; ++i)
+    {
+        for (auto const& order : f.tested.take_starts())
+        {
+            ++starts;
+            auto& model = f.models.at(order.endpoint);
+            f.tested.start_answered(
+                order, model.start(order, f.clock(), milliseconds(900), false),
+                f.clock(), f.now);
+            f.advance(milliseconds(200));
+            f.read(order.endpoint);
+            model.restart(model.record().started_ms + 1);
+        }
+        f.advance(milliseconds(10));
+        f.read_all();
+    }
+    CHECK(starts == 3);
+    auto const finished = f.tested.take_finished();
+    REQUIRE(finished.size() == 1);
+    CHECK(finished[0].result.end == job_end::unknown);
+}
