A new process of an endpoint knows nothing of stops, and may get late orders

Cause: when a new process of an endpoint was listed, a run that had been confirmed after a repeated start counted as ended, and its task started elsewhere, while an earlier order for it was still on its way and was then carried out by the new process. The same after a stop that the former process had confirmed: the new one does not know of it. The class: knowledge about a process that outlives the process.

When a process has ended its confirmed stops are void, and a run whose start was repeated is counted until the lease of its orders has ended, as one whose start was never confirmed.

Not covered, as before (PROOFS.md): an order that the former process would have rejected, for a stop or a token, reaches the new one within its lease.

ended_process_test "a run whose start was repeated is counted also when the next process has been listed" failed before.

--- a/libs/dispatch/src/endpoint_account.cpp
+++ b/libs/dispatch/src/endpoint_account.cpp
@@ -79,7 +79,7 @@
     bool const known = std::exchange(record_.started_ms, started_ms) != 0;
     if (!known)
         return false;
-    mark_crashed(now);
+    mark_process_ended(now);
     clock_.reset();
     seen_end_ = acknowledged_end_ = 0;
     if (link_ != endpoint_link::outranked)
@@ -212,7 +212,10 @@
     case run_phase::foreign:
         return true;
     case run_phase::running:
-        return run.confirmed < sent;
+        // An order without a response may reach the next process.
+        if (!run.process_ended || run.unanswered_starts == 0)
+            return run.confirmed < sent;
+        break;
     case run_phase::starting:
         break;
     }
@@ -237,6 +240,7 @@
     auto& run = found->second;
     run.listed = now;
     run.crash = crash_evidence::none;
+    run.process_ended = false;
     if (run.phase == run_phase::starting)
     {
         run.phase = run_phase::running;
@@ -306,14 +310,19 @@
 
 void endpoint_account::record_process_ended(time_point now)
 {
-    mark_crashed(now);
+    mark_process_ended(now);
     process_ended_ = true;
     if (link_ == endpoint_link::active)
         link_ = endpoint_link::unread;
 }
 
-void endpoint_account::mark_crashed(std::optional<time_point> found)
+void endpoint_account::mark_process_ended(std::optional<time_point> found)
 {
+    for (auto& [key, run] : runs_)
+    {
+        run.process_ended = true;
+        run.stop_confirmed.reset();
+    }
     if (record_.stage != endpoint_stage::ready)
         return;
     for (auto& [key, run] : runs_)
--- a/libs/dispatch/src/endpoint_account.hpp
+++ b/libs/dispatch/src/endpoint_account.hpp
@@ -54,8 +54,12 @@
     /// An endpoint has crashed under the task before: nothing else is placed
     /// beside it.
     bool alone = false;
-    /// Whether the endpoint's process has ended since the run was last listed.
+    /// What the end of the endpoint's process says about the task; reset when
+    /// the run is listed again.
     crash_evidence crash = crash_evidence::none;
+    /// The endpoint's process has ended since the run was last listed. A new
+    /// one knows neither the run nor its stop.
+    bool process_ended = false;
     /// Set when the endpoint has confirmed a stop.
     std::optional<time_point> stop_confirmed;
     time_point stop_sent;
@@ -235,7 +239,7 @@
     /// Marks the runs as lost with the process, which was found to have ended
     /// at `found`; without it, as possibly lost. An endpoint that drains ends
     /// as planned, and has not crashed.
-    void mark_crashed(std::optional<time_point> found);
+    void mark_process_ended(std::optional<time_point> found);
     crash_evidence crash_evidence_of(placed_run const& run,
                                      time_point found) const;
     finished_run take(run_map::iterator place, std::optional<run_end> end);
--- a/libs/dispatch/tests/ended_process_test.cpp
+++ b/libs/dispatch/tests/ended_process_test.cpp
@@ -125,6 +125,26 @@
     CHECK(f.tested.take_starts().size() == 1);
 }
 
+TEST_CASE(
+    "a run whose start was repeated is counted also when the next process "
+    "has been listed")
+{
+    dispatcher_fixture f(3);
+    auto const first = submit_one(f, "a");
+    f.tested.start_answered(first, order_response::unanswered, std::nullopt,
+                            f.now);
+    auto const repeated = f.tested.take_starts();
+    REQUIRE(repeated.size() == 1);
+    confirm(f, repeated[0]);
+    f.advance(milliseconds(10));
+    f.models.at(first.endpoint).restart(2'000);
+    f.read_all();
+    CHECK(f.tested.take_starts().empty());
+    f.advance(milliseconds(1'500));
+    f.read_all();
+    CHECK(f.tested.take_starts().size() == 1);
+}
+
 // The response to an order may come after a list of the next process.
 TEST_CASE("a start that is refused does not end the other runs there")
 {
