A lease that was given to an endpoint's former process ends by our own clock

A task whose start got no response just before its endpoint restarted under the same id waited until its caller gave up: its run was counted on, and the other runs' leases were renewed meanwhile.

Cause: the end of the lease, by the clock of the former process, was compared with the clock of the next one, which starts anew and is behind by the time that the endpoint was up.

The time by which the clock has passed the end of the lease is worked out when the order is sent.

ended_process_test "a start without a response is not counted for longer because the next process has another clock" failed before; interleaving_test passed.

--- a/libs/dispatch/src/endpoint_account.cpp
+++ b/libs/dispatch/src/endpoint_account.cpp
@@ -127,6 +127,7 @@
     run.ordered = now;
     run.progressed = now;
     run.lease_until = clock_.lease_end(now, limits_.longest_lease);
+    run.lease_passed = clock_.time_when_passed(run.lease_until);
     record_lease(run.lease_until);
     used_ += run.need;
     lone_runs_ += run.alone ? 1 : 0;
@@ -138,6 +139,7 @@
 std::int64_t endpoint_account::extend_start(placed_run& run, time_point now)
 {
     run.lease_until = clock_.lease_end(now, limits_.longest_lease);
+    run.lease_passed = clock_.time_when_passed(run.lease_until);
     record_lease(run.lease_until);
     return run.lease_until;
 }
@@ -219,7 +221,8 @@
     case run_phase::starting:
         break;
     }
-    return clock_.known() && clock_.time_when_passed(run.lease_until) < sent;
+    // The next process has another clock.
+    return run.lease_passed < sent;
 }
 
 void endpoint_account::apply_active(active_run const& seen, time_point sent,
--- a/libs/dispatch/src/endpoint_account.hpp
+++ b/libs/dispatch/src/endpoint_account.hpp
@@ -40,6 +40,8 @@
     /// End of the lease in the last start order, by the endpoint's clock. The
     /// endpoint rejects a start order that arrives later.
     std::int64_t lease_until = 0;
+    /// By then the endpoint's clock has passed `lease_until`.
+    time_point lease_passed{};
     /// Number of start orders without a response, which may be carried out
     /// later.
     int unanswered_starts = 0;
--- a/libs/dispatch/tests/ended_process_test.cpp
+++ b/libs/dispatch/tests/ended_process_test.cpp
@@ -145,6 +145,31 @@
     CHECK(f.tested.take_starts().size() == 1);
 }
 
+// The lease of the start was compared with the clock of the next process, and
+// the task waited until its caller gave up.
+TEST_CASE("a start without a response is not counted for longer because the "
+          "next process has another clock")
+{
+    dispatcher_fixture f(2);
+    auto const first = submit_one(f, "a");
+    f.tested.start_answered(first, order_response::unanswered, std::nullopt,
+                            f.now);
+    f.tested.take_starts();
+    run_list list;
+    list.started_ms = 2'000;
+    for (int i = 0; i < 150; ++i)
+    {
+        f.advance(milliseconds(10));
+        auto const order = f.tested.next_list(first.endpoint, f.now);
+        if (order)
+            f.tested.list_answered(first.endpoint, *order, list,
+                                   f.clock() - 90'000, f.now, f.now);
+    }
+    auto const again = f.tested.take_starts();
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].run.number > first.run.number);
+}
+
 // The response to an order may come after a list of the next process.
 TEST_CASE("a start that is refused does not end the other runs there")
 {
