--- a/libs/dispatch/src/crash_history.cpp
+++ b/libs/dispatch/src/crash_history.cpp
@@ -9,8 +9,8 @@
 namespace
 {
 
-/// After the first crash a task runs alone, so that the second one shows
-/// whether it is the cause.
+/// After the first crash nothing is placed beside a task any more, so that the
+/// second one shows whether it is the cause.
 constexpr int min_failed = 2;
 
 /// Number of crashes after which a task is not started again.
