A run ends only by what its endpoint's next process says, not by a refused link

On such a link the dispatcher ended the runs of an endpoint after two refused lists and placed their tasks again, while the endpoint worked on.

Cause: a property of the link was taken for one of the process behind it. The class is wider: a record of the store, which another writer may change, reset an endpoint's runs too.

Now `process_end` is the only proof. It is made from a list that another process answers at that address, or from the start times in two lists; the functions that end runs with their process, void their stops or count crashes ask for it. A refused connection stops new starts until the next list.

A crash under a task counts when the proof comes, also for runs whose lease has ended meanwhile; the time of the first refused connection then tells how old the run was.

--- a/libs/dispatch/src/dispatcher.cpp
+++ b/libs/dispatch/src/dispatcher.cpp
@@ -14,13 +14,6 @@
 /// Progress is read from lists, which arrive at least every 200 ms.
 constexpr milliseconds progress_interval{50};
 
-/// Whether the response shows that the endpoint's process has ended.
-bool shows_process_ended(order_response response)
-{
-    return response == order_response::connection_refused ||
-           response == order_response::other_instance;
-}
-
 } // namespace
 
 dispatcher::impl::impl(dispatch_limits limits, std::int64_t token)
@@ -70,19 +63,24 @@
                           name_of(reason)});
 }
 
-void dispatcher::impl::check_process(endpoint_account& account,
-                                     order_response response, time_point now)
+void dispatcher::impl::record_process_ended(endpoint_account& account,
+                                            std::string_view evidence)
 {
-    if (!shows_process_ended(response))
-        return;
-    if (!account.process_ended())
-        decisions_.push_back({"endpoint_process_ended",
-                              {},
-                              {},
-                              account.record().id,
-                              name_of(response),
-                              static_cast<double>(account.runs().size())});
-    account.record_process_ended(now);
+    decisions_.push_back({"endpoint_process_ended",
+                          {},
+                          {},
+                          account.record().id,
+                          evidence,
+                          static_cast<double>(account.runs().size())});
+}
+
+void dispatcher::impl::stop_starts_at(endpoint_account& account,
+                                      order_response response, time_point now)
+{
+    if (response == order_response::connection_refused)
+        account.record_connection_refused(now);
+    else if (response == order_response::other_instance)
+        account.list_again();
 }
 
 void dispatcher::impl::update_endpoint(endpoint_record record)
@@ -97,11 +95,27 @@
         endpoints_to_poll_.insert(id);
         return;
     }
-    if (account->reset_if_restarted(record.started_ms))
+    // Another writer may have changed the record: only a list of the endpoint
+    // shows that its process has ended.
+    if (record.started_ms != account->record().started_ms)
+    {
+        account->list_again();
         endpoints_to_poll_.insert(id);
+    }
     account->update(std::move(record));
 }
 
+void dispatcher::impl::record_crashes(endpoint_account& account, time_point now)
+{
+    for (auto const& lost : account.take_lost_with_process())
+    {
+        crash_history_.record(lost.key.task, lost.run.crash, now);
+        auto const& job = lost.run.job;
+        if (job && !job->ended)
+            give_up_crashing(job, now);
+    }
+}
+
 void dispatcher::impl::advance_token(std::int64_t token)
 {
     token_ = token;
@@ -161,6 +175,7 @@
     account->record_acknowledged(order.acknowledged_end);
     auto changes = account->apply_list(list, sent, now);
     account->record_clock(endpoint_clock, now);
+    record_crashes(*account, now);
     for (auto const& key : changes.foreign)
     {
         ++live_runs_[key.task];
@@ -181,18 +196,26 @@
         return;
     decisions_.push_back(
         {"list_failed", {}, {}, endpoint, name_of(response), 0});
-    bool const ended =
-        shows_process_ended(response) && account->process_ended();
-    check_process(*account, response, now);
+    stop_starts_at(*account, response, now);
     if (response == order_response::outranked)
         account->record_outranked();
     else
         account->record_call_failure(now);
-    if (!ended)
+    auto const proof = process_end::from_list_response(response);
+    if (!proof)
         return;
+    bool const confirmed = account->process_ended();
+    account->record_process_ended(*proof, now);
+    record_crashes(*account, now);
+    // One such response may come from a wrong address.
+    if (!confirmed)
+    {
+        record_process_ended(*account, name_of(response));
+        return;
+    }
     // Unlike responses to orders, those to lists arrive in order: there is no
     // list of the next process yet.
-    for (auto const& finished : account->take_ended_with_process())
+    for (auto const& finished : account->take_ended_with_process(*proof))
         run_ended(*account, finished, now);
     place(now);
 }
--- a/libs/dispatch/src/dispatcher_impl.hpp
+++ b/libs/dispatch/src/dispatcher_impl.hpp
@@ -111,10 +111,14 @@
                           placed_run& run, time_point now);
     void discard_start(endpoint_account& account, run_key const& key,
                        time_point now);
-    /// Reacts to a response that shows whether the endpoint's process has
-    /// ended.
-    void check_process(endpoint_account& account, order_response response,
-                       time_point now);
+    /// Places nothing more on an endpoint whose response raises the question
+    /// whether its process has ended, until it has been listed again.
+    static void stop_starts_at(endpoint_account& account,
+                               order_response response, time_point now);
+    void record_process_ended(endpoint_account& account,
+                              std::string_view evidence);
+    /// Counts the crashes under runs whose leases ended before.
+    void record_crashes(endpoint_account& account, time_point now);
     void record_success(endpoint_account& account);
     void record_failure(endpoint_account& account, endpoint_failure reason,
                         time_point now);
--- a/libs/dispatch/src/dispatcher_placement.cpp
+++ b/libs/dispatch/src/dispatcher_placement.cpp
@@ -10,7 +10,7 @@
 
 /// Number of lost runs of a task after which the job ends with the next loss.
 /// Detecting each takes up to the length of a lease.
-constexpr int max_lost_runs = 4;
+constexpr int max_lost_runs = 2;
 
 /// Run numbers skipped when an endpoint has seen a later run of the task, from
 /// an earlier submission of the job. Such a submission starts a task only a few
@@ -364,7 +364,7 @@
     if (found == account->runs().end())
         return;
     auto& run = found->second;
-    check_process(*account, response, now);
+    stop_starts_at(*account, response, now);
     if (run.job && response != order_response::accepted)
         record_decision("start_answered", *run.job, order.run.task,
                         order.endpoint, name_of(response),
@@ -390,7 +390,7 @@
             run.job->tasks[run.task].last_run += run_number_skip;
         break;
     case order_response::no_room:
-        account->record_capacity_mismatch();
+        account->list_again();
         endpoints_to_poll_.insert(order.endpoint);
         break;
     case order_response::malformed:
@@ -429,7 +429,7 @@
     auto* const account = find(order.endpoint);
     if (account == nullptr)
         return;
-    check_process(*account, response, now);
+    stop_starts_at(*account, response, now);
     if (response == order_response::outranked)
         account->record_outranked();
     auto const found = account->runs().find(order.run);
--- a/libs/dispatch/src/endpoint_account.cpp
+++ b/libs/dispatch/src/endpoint_account.cpp
@@ -71,21 +71,25 @@
     return true;
 }
 
-bool endpoint_account::reset_if_restarted(std::int64_t started_ms,
-                                          std::optional<time_point> now)
+void endpoint_account::list_again()
 {
-    if (started_ms == 0 || started_ms == record_.started_ms)
-        return false;
-    bool const known = std::exchange(record_.started_ms, started_ms) != 0;
-    if (!known)
-        return false;
-    mark_process_ended(now);
+    if (link_ == endpoint_link::active)
+        link_ = endpoint_link::unread;
+}
+
+void endpoint_account::reset_if_restarted(std::int64_t started_ms,
+                                          time_point now)
+{
+    auto const proof =
+        process_end::from_start_times(process_started_ms_, started_ms);
+    if (started_ms != 0)
+        process_started_ms_ = started_ms;
+    if (!proof)
+        return;
+    mark_process_ended(*proof, now);
     clock_.reset();
     seen_end_ = acknowledged_end_ = 0;
-    if (link_ != endpoint_link::outranked)
-        link_ = endpoint_link::unread;
     health_ = {};
-    return true;
 }
 
 resources endpoint_account::free() const
@@ -126,9 +130,7 @@
 {
     run.ordered = now;
     run.progressed = now;
-    run.lease_until = clock_.lease_end(now, limits_.longest_lease);
-    run.lease_passed = clock_.time_when_passed(run.lease_until);
-    record_lease(run.lease_until);
+    extend_start(run, now);
     used_ += run.need;
     lone_runs_ += run.alone ? 1 : 0;
     auto const until = run.lease_until;
@@ -202,7 +204,7 @@
     acknowledged_end_ = std::max(acknowledged_end_, number);
 }
 
-bool endpoint_account::has_ended(placed_run const& run, time_point sent) const
+bool endpoint_account::has_ended(placed_run const& run, time_point sent)
 {
     // A run that is being stopped stays listed until its end is listed. If it
     // had not started when the stop was confirmed, the endpoint rejects a later
@@ -262,6 +264,7 @@
     list_changes changes;
     process_ended_ = false;
     reset_if_restarted(list.started_ms, now);
+    expired_.clear();
     if (link_ != endpoint_link::outranked)
         link_ = endpoint_link::active;
     for (auto const& ended : list.ended)
@@ -296,6 +299,7 @@
 void endpoint_account::record_response(time_point now)
 {
     last_response_ = now;
+    refused_since_.reset();
 }
 
 void endpoint_account::record_call_failure(time_point now)
@@ -311,30 +315,39 @@
     link_ = endpoint_link::outranked;
 }
 
-void endpoint_account::record_process_ended(time_point now)
+void endpoint_account::record_connection_refused(time_point now)
+{
+    if (!refused_since_)
+        refused_since_ = now;
+    list_again();
+}
+
+void endpoint_account::record_process_ended(process_end proof, time_point now)
 {
-    mark_process_ended(now);
+    mark_process_ended(proof, now);
     process_ended_ = true;
-    if (link_ == endpoint_link::active)
-        link_ = endpoint_link::unread;
+    list_again();
 }
 
-void endpoint_account::mark_process_ended(std::optional<time_point> found)
+void endpoint_account::mark_process_ended(process_end, time_point now)
 {
     for (auto& [key, run] : runs_)
     {
         run.process_ended = true;
         run.stop_confirmed.reset();
     }
-    if (record_.stage != endpoint_stage::ready)
-        return;
-    for (auto& [key, run] : runs_)
+    if (record_.stage == endpoint_stage::ready)
     {
-        if (run.crash != crash_evidence::none)
-            continue;
-        run.crash =
-            found ? crash_evidence_of(run, *found) : crash_evidence::possible;
+        // The process had ended when its address refused connections.
+        auto const found = refused_since_.value_or(now);
+        for (auto& [key, run] : runs_)
+        {
+            if (run.crash == crash_evidence::none)
+                run.crash = crash_evidence_of(run, found);
+        }
+        std::ranges::move(expired_, std::back_inserter(lost_with_process_));
     }
+    expired_.clear();
 }
 
 crash_evidence endpoint_account::crash_evidence_of(placed_run const& run,
@@ -356,20 +369,27 @@
     return other_is_new ? crash_evidence::shared : crash_evidence::sole;
 }
 
-void endpoint_account::record_capacity_mismatch()
-{
-    if (link_ == endpoint_link::active)
-        link_ = endpoint_link::unread;
-}
-
 std::vector<finished_run> endpoint_account::take_expired(time_point now)
 {
     if (runs_.empty() || now <= last_lease_end_ || foreign_runs_ > 0)
         return {};
+    if (refused_since_)
+    {
+        for (auto const& [key, run] : runs_)
+        {
+            expired_.push_back({key, run, std::nullopt});
+            expired_.back().run.crash = crash_evidence_of(run, *refused_since_);
+        }
+    }
     return take_all();
 }
 
-std::vector<finished_run> endpoint_account::take_ended_with_process()
+std::vector<finished_run> endpoint_account::take_lost_with_process()
+{
+    return std::exchange(lost_with_process_, {});
+}
+
+std::vector<finished_run> endpoint_account::take_ended_with_process(process_end)
 {
     std::vector<finished_run> finished;
     for (auto place = runs_.begin(); place != runs_.end();)
--- a/libs/dispatch/src/endpoint_account.hpp
+++ b/libs/dispatch/src/endpoint_account.hpp
@@ -2,6 +2,7 @@
 #define MASTICSHIFT_DISPATCH_ENDPOINT_ACCOUNT_HPP
 
 #include "crash_history.hpp"
+#include "process_end.hpp"
 #include "tracked_job.hpp"
 
 #include <dispatch/endpoint_calls.hpp>
@@ -149,14 +150,8 @@
     /// again.
     bool advance_token(std::int64_t token);
 
-    /// Resets the clock, the numbers of ends and the trust if `started_ms`
-    /// shows a new incarnation of the endpoint, and returns whether it did. The
-    /// runs stay until the next list shows which have ended, because a start
-    /// order in transit may have reached the new incarnation.
-    ///
-    /// `now` is the time of the endpoint's own report, if it comes from one.
-    bool reset_if_restarted(std::int64_t started_ms,
-                            std::optional<time_point> now = std::nullopt);
+    /// Lists the endpoint again before the next start.
+    void list_again();
 
     /// Free capacity for further tasks. None while a foreign run is known.
     resources free() const;
@@ -202,17 +197,17 @@
     /// A call got no usable response.
     void record_call_failure(time_point now);
     void record_outranked();
-    /// A response has shown that the process of the endpoint has ended. No work
-    /// is placed until the endpoint has been listed again.
-    void record_process_ended(time_point now);
+    /// The link has refused a connection: nothing is placed until the endpoint
+    /// has been listed again. Whether its process has ended is unknown.
+    void record_connection_refused(time_point now);
+    /// The process of the endpoint has ended. No work is placed until the
+    /// endpoint has been listed again.
+    void record_process_ended(process_end proof, time_point now);
     /// Whether a response has shown so since the last list.
     bool process_ended() const
     {
         return process_ended_;
     }
-    /// The endpoint has less free capacity than accounted here: it is listed
-    /// before the next start.
-    void record_capacity_mismatch();
 
     /// Removes and returns all runs if none of the leases can be valid any
     /// more. Does nothing while a foreign run is known, as its lease is
@@ -222,7 +217,11 @@
     /// Removes and returns the runs that the ended process had confirmed. A
     /// start that may be carried out later, by a new process at the same
     /// address, is kept until its lease has ended.
-    std::vector<finished_run> take_ended_with_process();
+    std::vector<finished_run> take_ended_with_process(process_end proof);
+
+    /// Returns the runs whose leases ended before their endpoint's process was
+    /// known to have ended, with the evidence of its crash.
+    std::vector<finished_run> take_lost_with_process();
 
     /// Removes one run, for example because its start was refused.
     std::optional<finished_run> remove(run_key const& key);
@@ -230,18 +229,22 @@
 private:
     using run_map = std::map<run_key, placed_run>;
 
+    /// Resets what is known of the former process if the start time in a list
+    /// shows a new one. The runs stay until a list
+    /// shows which have ended, because a start order in transit may have
+    /// reached the new process.
+    void reset_if_restarted(std::int64_t started_ms, time_point now);
     /// Whether a run that is missing from the list requested at `sent` has
     /// ended.
-    bool has_ended(placed_run const& run, time_point sent) const;
+    static bool has_ended(placed_run const& run, time_point sent);
     /// How long the next list should wait for a run to end.
     milliseconds wait_for_end(time_point now) const;
     void apply_active(active_run const& seen, time_point sent, time_point now,
                       list_changes& changes);
     void record_lease(std::int64_t lease_until);
-    /// Marks the runs as lost with the process, which was found to have ended
-    /// at `found`; without it, as possibly lost. An endpoint that drains ends
-    /// as planned, and has not crashed.
-    void mark_process_ended(std::optional<time_point> found);
+    /// Marks the runs as lost with the process, whose end was found at `now`.
+    /// An endpoint that drains ends as planned, and has not crashed.
+    void mark_process_ended(process_end proof, time_point now);
     crash_evidence crash_evidence_of(placed_run const& run,
                                      time_point found) const;
     finished_run take(run_map::iterator place, std::optional<run_end> end);
@@ -252,7 +255,12 @@
     dispatch_limits limits_;
     endpoint_link link_ = endpoint_link::unread;
     lease_clock clock_;
+    /// Start time of the process that answered the last list; 0 if unknown.
+    std::int64_t process_started_ms_ = 0;
     std::map<run_key, placed_run> runs_;
+    /// Runs whose leases have ended since the last list.
+    std::vector<finished_run> expired_;
+    std::vector<finished_run> lost_with_process_;
     resources used_;
     int foreign_runs_ = 0;
     int lone_runs_ = 0;
@@ -265,6 +273,8 @@
     time_point last_lease_end_{};
     time_point last_response_{};
     time_point last_call_failure_{};
+    /// First refused connection since the last response.
+    std::optional<time_point> refused_since_;
     trust_tracker health_;
 };
 
