The next process of an endpoint rejects orders that were held up

What callers would see: a task that runs twice at the same time (TWICE) when an endpoint starts again under its id while a start order for it is held up.

Cause: knowledge about a process outlives the process. The dispatcher counted such a start as gone once its stop was confirmed or its lease had passed. The next process knows neither: its clock starts anew, so that the lease of the order ends far ahead, and it has seen no token. interleaving_test left just these orders out.

A list that shows another start time now raises the token for this endpoint, and it is listed again before anything starts there: from then on it rejects whatever was sent before, by any dispatcher. A start that may be in transit counts until a list with a higher token, or its lease where the process is the same. Endpoints with such a start in the last 15 s are listed also while nothing runs there, so that their next process is found within a list's wait and not at the next read of the store. Responses to orders with an earlier token confirm nothing and do not set the clock.

What remains: an order that reaches the next process before our first list does.

ended_process_test "the next process of an endpoint rejects starts that were sent to the former one" and "a late response of the former process confirms nothing" failed before. Two cases there now list a restarted endpoint twice before a start.

--- a/libs/dispatch/src/dispatcher.cpp
+++ b/libs/dispatch/src/dispatcher.cpp
@@ -2,6 +2,8 @@
 
 #include "dispatcher_impl.hpp"
 
+#include <dispatch/token.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -105,6 +107,19 @@
     account->update(std::move(record));
 }
 
+void dispatcher::impl::raise_token(endpoint_account& account)
+{
+    token_ = next_epoch(token_);
+    account.raise_token(token_);
+    endpoints_to_poll_.insert(account.record().id);
+    decisions_.push_back({"endpoint_restarted",
+                          {},
+                          {},
+                          account.record().id,
+                          "token_raised",
+                          static_cast<double>(account.runs().size())});
+}
+
 void dispatcher::impl::record_crashes(endpoint_account& account, time_point now)
 {
     for (auto const& lost : account.take_lost_with_process())
@@ -118,10 +133,10 @@
 
 void dispatcher::impl::advance_token(std::int64_t token)
 {
-    token_ = token;
+    token_ = std::max(token_, token);
     for (auto const& [id, account] : accounts_)
     {
-        if (account->advance_token(token))
+        if (account->advance_token(token_))
             endpoints_to_poll_.insert(id);
     }
 }
@@ -173,8 +188,10 @@
         return;
     account->record_response(now);
     account->record_acknowledged(order.acknowledged_end);
-    auto changes = account->apply_list(list, sent, now);
+    auto changes = account->apply_list(list, order, sent, now);
     account->record_clock(endpoint_clock, now);
+    if (changes.restarted)
+        raise_token(*account);
     record_crashes(*account, now);
     for (auto const& key : changes.foreign)
     {
--- a/libs/dispatch/src/dispatcher_impl.hpp
+++ b/libs/dispatch/src/dispatcher_impl.hpp
@@ -117,6 +117,9 @@
                                order_response response, time_point now);
     void record_process_ended(endpoint_account& account,
                               std::string_view evidence);
+    /// Makes the new process of an endpoint reject the orders that were meant
+    /// for the former one and are still in transit.
+    void raise_token(endpoint_account& account);
     /// Counts the crashes under runs whose leases ended before.
     void record_crashes(endpoint_account& account, time_point now);
     void record_success(endpoint_account& account);
--- a/libs/dispatch/src/dispatcher_placement.cpp
+++ b/libs/dispatch/src/dispatcher_placement.cpp
@@ -336,6 +336,7 @@
     if (account.health().unanswered())
         record_failure(account, endpoint_failure::unanswered, now);
     account.record_call_failure(now);
+    account.record_unanswered_start(now);
     bool const wanted = !run.unwanted && run.job && !run.job->ended;
     if (!wanted || ++run.unanswered_starts > max_start_repeats ||
         account.link() != endpoint_link::active)
@@ -355,7 +356,10 @@
     auto* const account = find(order.endpoint);
     if (account == nullptr)
         return;
-    if (endpoint_clock)
+    // A response to an order from before the last token may come from a process
+    // that has ended since, or carry its clock.
+    bool const outdated = order.token < account->token();
+    if (endpoint_clock && !outdated)
     {
         account->record_clock(*endpoint_clock, now);
         account->record_response(now);
@@ -373,7 +377,7 @@
     {
     case order_response::accepted:
         account->health().answered();
-        if (run.phase == run_phase::starting)
+        if (run.phase == run_phase::starting && !outdated)
         {
             run.phase = run_phase::running;
             run.confirmed = now;
@@ -383,7 +387,8 @@
         start_unanswered(*account, order.run, run, now);
         return;
     case order_response::outranked:
-        account->record_outranked();
+        if (!outdated)
+            account->record_outranked();
         break;
     case order_response::run_too_old:
         if (run.job)
@@ -430,14 +435,15 @@
     if (account == nullptr)
         return;
     stop_starts_at(*account, response, now);
-    if (response == order_response::outranked)
+    bool const outdated = order.token < account->token();
+    if (response == order_response::outranked && !outdated)
         account->record_outranked();
     auto const found = account->runs().find(order.run);
     if (found == account->runs().end())
         return;
     if (response == order_response::unanswered)
         stop_run(*account, order.run, now);
-    if (response != order_response::accepted)
+    if (response != order_response::accepted || outdated)
         return;
     account->record_response(now);
     found->second.stop_confirmed = now;
--- a/libs/dispatch/src/endpoint_account.cpp
+++ b/libs/dispatch/src/endpoint_account.cpp
@@ -31,6 +31,10 @@
 constexpr milliseconds short_list_wait{20};
 constexpr milliseconds short_waits_after_failure{1'000};
 
+/// How long a start order without a response may be in transit. Meanwhile the
+/// endpoint is listed, so that its next process soon has a higher token.
+constexpr milliseconds longest_transit{15'000};
+
 /// A task that crashes its endpoint does so soon after its start: a run of this
 /// age is not the likely cause.
 constexpr milliseconds settling_time{50};
@@ -71,13 +75,19 @@
     return true;
 }
 
+void endpoint_account::raise_token(std::int64_t token)
+{
+    token_ = token;
+    list_again();
+}
+
 void endpoint_account::list_again()
 {
     if (link_ == endpoint_link::active)
         link_ = endpoint_link::unread;
 }
 
-void endpoint_account::reset_if_restarted(std::int64_t started_ms,
+bool endpoint_account::reset_if_restarted(std::int64_t started_ms,
                                           time_point now)
 {
     auto const proof =
@@ -85,11 +95,12 @@
     if (started_ms != 0)
         process_started_ms_ = started_ms;
     if (!proof)
-        return;
+        return false;
     mark_process_ended(*proof, now);
     clock_.reset();
     seen_end_ = acknowledged_end_ = 0;
     health_ = {};
+    return true;
 }
 
 resources endpoint_account::free() const
@@ -142,6 +153,7 @@
 {
     run.lease_until = clock_.lease_end(now, limits_.longest_lease);
     run.lease_passed = clock_.time_when_passed(run.lease_until);
+    run.token = token_;
     record_lease(run.lease_until);
     return run.lease_until;
 }
@@ -169,7 +181,10 @@
     {
         if (seen_end_ > acknowledged_end_)
             return order;
-        return std::nullopt;
+        if (now >= watched_until_)
+            return std::nullopt;
+        order.wait = max_list_wait;
+        return order;
     }
     order.wait = short_list_wait;
     if (clock_.known() && all_wanted())
@@ -204,7 +219,8 @@
     acknowledged_end_ = std::max(acknowledged_end_, number);
 }
 
-bool endpoint_account::has_ended(placed_run const& run, time_point sent)
+bool endpoint_account::has_ended(placed_run const& run, list_order const& order,
+                                 time_point sent)
 {
     // A run that is being stopped stays listed until its end is listed. If it
     // had not started when the stop was confirmed, the endpoint rejects a later
@@ -223,8 +239,10 @@
     case run_phase::starting:
         break;
     }
-    // The next process has another clock.
-    return run.lease_passed < sent;
+    // The endpoint rejects a start order with a lower token than this list's.
+    // Its lease says nothing to the next process, which has another clock.
+    return run.token < order.token ||
+           (!run.process_ended && run.lease_passed < sent);
 }
 
 void endpoint_account::apply_active(active_run const& seen, time_point sent,
@@ -258,12 +276,13 @@
     }
 }
 
-list_changes endpoint_account::apply_list(run_list const& list, time_point sent,
-                                          time_point now)
+list_changes endpoint_account::apply_list(run_list const& list,
+                                          list_order const& order,
+                                          time_point sent, time_point now)
 {
     list_changes changes;
     process_ended_ = false;
-    reset_if_restarted(list.started_ms, now);
+    changes.restarted = reset_if_restarted(list.started_ms, now);
     expired_.clear();
     if (link_ != endpoint_link::outranked)
         link_ = endpoint_link::active;
@@ -283,7 +302,8 @@
     for (auto place = runs_.begin(); place != runs_.end();)
     {
         auto const next = std::next(place);
-        if (!active.contains(place->first) && has_ended(place->second, sent))
+        if (!active.contains(place->first) &&
+            has_ended(place->second, order, sent))
             changes.finished.push_back(take(place, std::nullopt));
         place = next;
     }
@@ -310,6 +330,11 @@
         link_ = endpoint_link::silent;
 }
 
+void endpoint_account::record_unanswered_start(time_point now)
+{
+    watched_until_ = now + longest_transit;
+}
+
 void endpoint_account::record_outranked()
 {
     link_ = endpoint_link::outranked;
--- a/libs/dispatch/src/endpoint_account.hpp
+++ b/libs/dispatch/src/endpoint_account.hpp
@@ -43,6 +43,8 @@
     std::int64_t lease_until = 0;
     /// By then the endpoint's clock has passed `lease_until`.
     time_point lease_passed{};
+    /// Token of the last start order.
+    std::int64_t token = 0;
     /// Number of start orders without a response, which may be carried out
     /// later.
     int unanswered_starts = 0;
@@ -83,6 +85,8 @@
     std::vector<finished_run> finished;
     /// Runs started by another dispatcher and listed for the first time.
     std::vector<run_key> foreign;
+    /// Another process than before has answered.
+    bool restarted = false;
 };
 
 enum class endpoint_link
@@ -150,6 +154,11 @@
     /// again.
     bool advance_token(std::int64_t token);
 
+    /// Uses a token that is higher than all that were used here, so that the
+    /// endpoint rejects the orders that are still in transit. It has to be
+    /// listed again.
+    void raise_token(std::int64_t token);
+
     /// Lists the endpoint again before the next start.
     void list_again();
 
@@ -178,16 +187,18 @@
     std::int64_t add_run(run_key const& key, placed_run run, time_point now);
 
     /// Returns the end of the lease for another start order of this run.
+    /// Sets its token too.
     std::int64_t extend_start(placed_run& run, time_point now);
 
-    /// The next list order, or nothing if none is needed: nothing runs there
-    /// and its ends have been acknowledged, or the token was rejected.
+    /// The next list order, or nothing if none is needed: nothing runs there,
+    /// its ends have been acknowledged and no start order may be in transit, or
+    /// the token was rejected.
     std::optional<list_order> next_list(time_point now);
 
-    /// Applies a list that was requested at `sent`. Foreign runs are added to
-    /// `runs()`.
-    list_changes apply_list(run_list const& list, time_point sent,
-                            time_point now);
+    /// Applies the response to a list order that was sent at `sent`. Foreign
+    /// runs are added to `runs()`.
+    list_changes apply_list(run_list const& list, list_order const& order,
+                            time_point sent, time_point now);
 
     /// All ends up to this number have been acknowledged to the endpoint.
     void record_acknowledged(std::int64_t number);
@@ -197,6 +208,8 @@
     /// A call got no usable response.
     void record_call_failure(time_point now);
     void record_outranked();
+    /// A start order got no response and may still be in transit.
+    void record_unanswered_start(time_point now);
     /// The link has refused a connection: nothing is placed until the endpoint
     /// has been listed again. Whether its process has ended is unknown.
     void record_connection_refused(time_point now);
@@ -230,13 +243,14 @@
     using run_map = std::map<run_key, placed_run>;
 
     /// Resets what is known of the former process if the start time in a list
-    /// shows a new one. The runs stay until a list
+    /// shows a new one, and returns whether it did. The runs stay until a list
     /// shows which have ended, because a start order in transit may have
     /// reached the new process.
-    void reset_if_restarted(std::int64_t started_ms, time_point now);
-    /// Whether a run that is missing from the list requested at `sent` has
-    /// ended.
-    static bool has_ended(placed_run const& run, time_point sent);
+    bool reset_if_restarted(std::int64_t started_ms, time_point now);
+    /// Whether a run that is missing from the response to this list order, sent
+    /// at `sent`, has ended.
+    static bool has_ended(placed_run const& run, list_order const& order,
+                          time_point sent);
     /// How long the next list should wait for a run to end.
     milliseconds wait_for_end(time_point now) const;
     void apply_active(active_run const& seen, time_point sent, time_point now,
@@ -273,6 +287,8 @@
     time_point last_lease_end_{};
     time_point last_response_{};
     time_point last_call_failure_{};
+    /// It is listed until then even if nothing runs there.
+    time_point watched_until_{};
     /// First refused connection since the last response.
     std::optional<time_point> refused_since_;
     trust_tracker health_;
--- a/libs/dispatch/src/peer_roster.cpp
+++ b/libs/dispatch/src/peer_roster.cpp
@@ -2,6 +2,8 @@
 
 #include "stable_hash.hpp"
 
+#include <dispatch/token.hpp>
+
 #include <algorithm>
 #include <tuple>
 #include <utility>
@@ -12,10 +14,7 @@
 namespace
 {
 
-/// A token consists of an epoch in the high bits and a hash of the entry's
-/// address in the low ones.
-constexpr int entry_bits = 24;
-constexpr std::int64_t entry_mask = (std::int64_t(1) << entry_bits) - 1;
+constexpr std::int64_t entry_mask = (std::int64_t(1) << token_entry_bits) - 1;
 
 /// Epochs count from 2026, so that tokens stay exact as JSON numbers (53 bits).
 constexpr std::int64_t first_epoch_second = 1'767'225'600;
@@ -199,11 +198,11 @@
 std::int64_t peer_roster::next_token(std::int64_t unix_seconds) const
 {
     auto const epoch =
-        std::max((highest_token_ >> entry_bits) + token_step_,
+        std::max((highest_token_ >> token_entry_bits) + token_step_,
                  std::max<std::int64_t>(unix_seconds - first_epoch_second, 1));
     auto const entry =
         static_cast<std::int64_t>(stable_hash(self_.address)) & entry_mask;
-    return (epoch << entry_bits) | entry;
+    return (epoch << token_entry_bits) | entry;
 }
 
 void peer_roster::record_unknown_token()
--- a/libs/dispatch/tests/ended_process_test.cpp
+++ b/libs/dispatch/tests/ended_process_test.cpp
@@ -62,6 +62,27 @@
     CHECK(again[0].run.number > first.run.number);
 }
 
+// An order that is held up for seconds reaches the next process, which knows
+// neither the stop nor the lease of its predecessor.
+TEST_CASE("the next process of an endpoint rejects starts that were sent to "
+          "the former one")
+{
+    dispatcher_fixture f(2);
+    auto const held_up = submit_one(f, "a");
+    f.lose_start(held_up);
+    f.deliver_orders();
+    f.read_all();
+    auto const again = f.tested.take_starts();
+    REQUIRE(again.size() == 1);
+    auto& restarted = f.models.at(held_up.endpoint);
+    restarted.restart(2'000);
+    f.advance(milliseconds(1'100));
+    f.read_all();
+    f.read_all();
+    CHECK(restarted.start(held_up, f.clock() - 90'000, run_time, false) ==
+          order_response::outranked);
+}
+
 // The record may have been written by someone else.
 TEST_CASE("a record with another start time does not end the runs there")
 {
@@ -81,6 +102,25 @@
     CHECK(finished[0].result.end == job_end::completed);
 }
 
+// Such a response may carry the clock of the former process, and its start is
+// no start of the next one.
+TEST_CASE("a late response of the former process confirms nothing")
+{
+    dispatcher_fixture f(2);
+    auto const first = submit_one(f, "a");
+    auto& model = f.models.at(first.endpoint);
+    model.restart(2'000);
+    f.advance(milliseconds(10));
+    f.read(first.endpoint);
+    f.tested.start_answered(first, order_response::accepted, f.clock() + 90'000,
+                            f.now);
+    f.read(first.endpoint);
+    auto const again = f.tested.take_starts();
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].run.number > first.run.number);
+    CHECK(again[0].lease_until <= f.clock() + 1'000);
+}
+
 // One response may be wrong, or come from a process that has just begun.
 TEST_CASE("one refused connection does not end the runs of an endpoint")
 {
@@ -224,6 +264,8 @@
     f.models.at("e0").restart(2'000);
     f.advance(milliseconds(50));
     f.read_all();
+    CHECK(f.tested.take_starts().empty());
+    f.read_all();
     auto const again = f.tested.take_starts();
     REQUIRE(again.size() == 1);
     CHECK(again[0].run.number > first.run.number);
