What the review of the fence found: late follow-ups, refused peers, crashes counted twice

What callers would see or saw:

Trace: the answer of the next process at 30.114 s, the end of the lease at 30.169 s and the second answer at 30.171 s counted the same crash twice. A run that has evidence already is not kept for later. Test: "a crash that is noticed before and after the end of a lease counts once" failed before. - The time of the first refused connection was erased just before it was used, so that runs of an endpoint that restarts under its id looked older than they were. - A start whose run was stopped before it timed out was not followed up; one whose endpoint was removed and came back was forgotten; one that the next process may carry out was freed by a lease that says nothing to that process. An endpoint that refuses connections while a start may be in transit gets a higher token with its next list. - Tokens that a dispatcher raises come from the roster: two cells of one entry could use the same one. - A 421 from an address at which the endpoint was never listed ended its runs. - Peers: a refused connection made a peer dead although its heartbeats arrived, its cell was claimed by another entry, and its jobs were cancelled.

--- a/libs/dispatch/include/dispatch/dispatcher.hpp
+++ b/libs/dispatch/include/dispatch/dispatcher.hpp
@@ -7,6 +7,7 @@
 #include <dispatch/job.hpp>
 #include <dispatch/limits.hpp>
 #include <dispatch/speed_estimator.hpp>
+#include <dispatch/token.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -70,7 +71,8 @@
 public:
     /// `token` must be higher than that of any earlier dispatcher of the
     /// endpoints.
-    dispatcher(dispatch_limits limits, std::int64_t token);
+    dispatcher(dispatch_limits limits, std::int64_t token,
+               token_source next_token = next_epoch);
     ~dispatcher();
 
     dispatcher(dispatcher const&) = delete;
--- a/libs/dispatch/include/dispatch/peer_roster.hpp
+++ b/libs/dispatch/include/dispatch/peer_roster.hpp
@@ -114,6 +114,25 @@
     /// the known ones.
     void record_unknown_token();
 
+    /// Records a token that this entry uses, so that `next_token` is higher.
+    void record_token(std::int64_t token);
+
+    /// Whether the entry is alive, and has been without interruption from
+    /// `since` on.
+    bool is_alive_since(entry_identity const& entry, time_point since,
+                        time_point now) const;
+
+    /// While this entry has withdrawn jobs from a dispatcher that does not
+    /// answer it, it exchanges no heartbeats with it: the dispatcher then
+    /// cancels the jobs. The calls are counted.
+    void begin_silence(std::string const& dispatcher);
+    void end_silence(std::string const& dispatcher);
+    bool is_silent_to(std::string const& dispatcher) const;
+
+    /// Whether this process was paused lately: other entries may have acted
+    /// meanwhile without this one having received it.
+    bool was_paused(time_point now) const;
+
     /// Replaces the claims of this entry.
     void set_claims(std::vector<dispatch_claim> claims);
     void set_leaving();
@@ -213,6 +232,7 @@
 
     entry_identity self_;
     time_point started_;
+    std::map<std::string, int> silences_;
     bool leaving_ = false;
     std::vector<dispatch_claim> claims_;
     std::int64_t configuration_version_ = 0;
--- a/libs/dispatch/include/dispatch/token.hpp
+++ b/libs/dispatch/include/dispatch/token.hpp
@@ -2,6 +2,7 @@
 #define MASTICSHIFT_DISPATCH_TOKEN_HPP
 
 #include <cstdint>
+#include <functional>
 
 namespace masticshift::dispatch
 {
@@ -11,6 +12,10 @@
 /// the same one.
 inline constexpr int token_entry_bits = 24;
 
+/// Returns a token higher than the given one that no other dispatcher uses, or
+/// the given one if there is none for now.
+using token_source = std::function<std::int64_t(std::int64_t)>;
+
 /// Next higher token of the same entry.
 constexpr std::int64_t next_epoch(std::int64_t token)
 {
--- a/libs/dispatch/src/claim_relay.cpp
+++ b/libs/dispatch/src/claim_relay.cpp
@@ -43,7 +43,7 @@
     if (holder == nullptr)
         return false;
     return holder->heartbeat.sender.incarnation > known.holder.incarnation ||
-           holder->last_received >= known.sent || holder->refused;
+           holder->last_received >= known.sent;
 }
 
 void claim_relay::remove_expired(time_point now)
--- a/libs/dispatch/src/dispatcher.cpp
+++ b/libs/dispatch/src/dispatcher.cpp
@@ -2,8 +2,6 @@
 
 #include "dispatcher_impl.hpp"
 
-#include <dispatch/token.hpp>
-
 #include <algorithm>
 #include <utility>
 
@@ -18,8 +16,9 @@
 
 } // namespace
 
-dispatcher::impl::impl(dispatch_limits limits, std::int64_t token)
-    : token_(token), limits_(limits)
+dispatcher::impl::impl(dispatch_limits limits, std::int64_t token,
+                       token_source next_token)
+    : token_(token), next_token_(std::move(next_token)), limits_(limits)
 {
 }
 
@@ -109,10 +108,10 @@
 
 void dispatcher::impl::raise_token(endpoint_account& account)
 {
-    token_ = next_epoch(token_);
+    token_ = std::max(token_, next_token_(token_));
     account.raise_token(token_);
     endpoints_to_poll_.insert(account.record().id);
-    decisions_.push_back({"endpoint_restarted",
+    decisions_.push_back({"endpoint_fenced",
                           {},
                           {},
                           account.record().id,
@@ -186,9 +185,9 @@
     auto* const account = find(endpoint);
     if (account == nullptr)
         return;
-    account->record_response(now);
     account->record_acknowledged(order.acknowledged_end);
     auto changes = account->apply_list(list, order, sent, now);
+    account->record_response(now);
     account->record_clock(endpoint_clock, now);
     if (changes.restarted)
         raise_token(*account);
@@ -213,13 +212,17 @@
         return;
     decisions_.push_back(
         {"list_failed", {}, {}, endpoint, name_of(response), 0});
+    // The next process may get a start that is in transit before it is listed.
+    if (response == order_response::connection_refused &&
+        account->is_watched(now) && !account->is_refusing())
+        raise_token(*account);
     stop_starts_at(*account, response, now);
     if (response == order_response::outranked)
         account->record_outranked();
     else
         account->record_call_failure(now);
     auto const proof = process_end::from_list_response(response);
-    if (!proof)
+    if (!proof || !account->is_at_listed_address())
         return;
     bool const confirmed = account->process_ended();
     account->record_process_ended(*proof, now);
@@ -255,6 +258,7 @@
                   {
                       auto const* const account = find(id);
                       return account != nullptr && account->runs().empty() &&
+                             !account->is_watched(now) &&
                              accounts_.erase(id) > 0;
                   });
     check_deadlines(now);
@@ -285,8 +289,9 @@
     return count;
 }
 
-dispatcher::dispatcher(dispatch_limits limits, std::int64_t token)
-    : impl_(std::make_unique<impl>(limits, token))
+dispatcher::dispatcher(dispatch_limits limits, std::int64_t token,
+                       token_source next_token)
+    : impl_(std::make_unique<impl>(limits, token, std::move(next_token)))
 {
 }
 
--- a/libs/dispatch/src/dispatcher_impl.hpp
+++ b/libs/dispatch/src/dispatcher_impl.hpp
@@ -21,7 +21,7 @@
 class dispatcher::impl
 {
 public:
-    impl(dispatch_limits limits, std::int64_t token);
+    impl(dispatch_limits limits, std::int64_t token, token_source next_token);
 
     void submit(job_spec spec, std::string origin, time_point now);
     void withdraw(std::string const& id, std::string const& origin,
@@ -132,6 +132,7 @@
                          std::string_view outcome, double value);
 
     std::int64_t token_ = 0;
+    token_source next_token_;
     speed_estimator speeds_;
     account_map accounts_;
     wait_queue queue_;
--- a/libs/dispatch/src/dispatcher_placement.cpp
+++ b/libs/dispatch/src/dispatcher_placement.cpp
@@ -336,7 +336,6 @@
     if (account.health().unanswered())
         record_failure(account, endpoint_failure::unanswered, now);
     account.record_call_failure(now);
-    account.record_unanswered_start(now);
     bool const wanted = !run.unwanted && run.job && !run.job->ended;
     if (!wanted || ++run.unanswered_starts > max_start_repeats ||
         account.link() != endpoint_link::active)
@@ -364,6 +363,8 @@
         account->record_clock(*endpoint_clock, now);
         account->record_response(now);
     }
+    if (response == order_response::unanswered)
+        account->record_unanswered_start(now);
     auto const found = account->runs().find(order.run);
     if (found == account->runs().end())
         return;
--- a/libs/dispatch/src/endpoint_account.cpp
+++ b/libs/dispatch/src/endpoint_account.cpp
@@ -97,6 +97,8 @@
     if (!proof)
         return false;
     mark_process_ended(*proof, now);
+    for (auto& [key, run] : runs_)
+        run.same_id_restarted = true;
     clock_.reset();
     seen_end_ = acknowledged_end_ = 0;
     health_ = {};
@@ -181,7 +183,7 @@
     {
         if (seen_end_ > acknowledged_end_)
             return order;
-        if (now >= watched_until_)
+        if (!is_watched(now))
             return std::nullopt;
         order.wait = max_list_wait;
         return order;
@@ -264,6 +266,7 @@
     run.listed = now;
     run.crash = crash_evidence::none;
     run.process_ended = false;
+    run.same_id_restarted = false;
     if (run.phase == run_phase::starting)
     {
         run.phase = run_phase::running;
@@ -284,6 +287,8 @@
     process_ended_ = false;
     changes.restarted = reset_if_restarted(list.started_ms, now);
     expired_.clear();
+    listed_ip_ = record_.ip;
+    listed_port_ = record_.port;
     if (link_ != endpoint_link::outranked)
         link_ = endpoint_link::active;
     for (auto const& ended : list.ended)
@@ -394,19 +399,35 @@
     return other_is_new ? crash_evidence::shared : crash_evidence::sole;
 }
 
+bool endpoint_account::may_start_later(placed_run const& run,
+                                       time_point now) const
+{
+    return run.same_id_restarted && is_watched(now) &&
+           (run.phase == run_phase::starting || run.unanswered_starts > 0);
+}
+
 std::vector<finished_run> endpoint_account::take_expired(time_point now)
 {
+    std::vector<finished_run> finished;
     if (runs_.empty() || now <= last_lease_end_ || foreign_runs_ > 0)
-        return {};
-    if (refused_since_)
+        return finished;
+    for (auto place = runs_.begin(); place != runs_.end();)
     {
-        for (auto const& [key, run] : runs_)
+        auto const next = std::next(place);
+        auto const& run = place->second;
+        if (!may_start_later(run, now))
         {
-            expired_.push_back({key, run, std::nullopt});
-            expired_.back().run.crash = crash_evidence_of(run, *refused_since_);
+            if (refused_since_ && run.crash == crash_evidence::none)
+            {
+                expired_.push_back({place->first, run, std::nullopt});
+                expired_.back().run.crash =
+                    crash_evidence_of(run, *refused_since_);
+            }
+            finished.push_back(take(place, std::nullopt));
         }
+        place = next;
     }
-    return take_all();
+    return finished;
 }
 
 std::vector<finished_run> endpoint_account::take_lost_with_process()
@@ -448,12 +469,4 @@
     return finished;
 }
 
-std::vector<finished_run> endpoint_account::take_all()
-{
-    std::vector<finished_run> finished;
-    while (!runs_.empty())
-        finished.push_back(take(runs_.begin(), std::nullopt));
-    return finished;
-}
-
 } // namespace masticshift::dispatch
--- a/libs/dispatch/src/endpoint_account.hpp
+++ b/libs/dispatch/src/endpoint_account.hpp
@@ -65,6 +65,8 @@
     /// The endpoint's process has ended since the run was last listed. A new
     /// one knows neither the run nor its stop.
     bool process_ended = false;
+    /// The new process has the id of the endpoint, and accepts orders to it.
+    bool same_id_restarted = false;
     /// Set when the endpoint has confirmed a stop.
     std::optional<time_point> stop_confirmed;
     time_point stop_sent;
@@ -210,9 +212,25 @@
     void record_outranked();
     /// A start order got no response and may still be in transit.
     void record_unanswered_start(time_point now);
+    /// Whether it is listed because such an order may be.
+    bool is_watched(time_point now) const
+    {
+        return now < watched_until_;
+    }
     /// The link has refused a connection: nothing is placed until the endpoint
     /// has been listed again. Whether its process has ended is unknown.
     void record_connection_refused(time_point now);
+    /// Whether it has refused a connection since its last response.
+    bool is_refusing() const
+    {
+        return refused_since_.has_value();
+    }
+    /// Whether its record has the address at which it was last listed: another
+    /// process elsewhere says nothing about it.
+    bool is_at_listed_address() const
+    {
+        return record_.ip == listed_ip_ && record_.port == listed_port_;
+    }
     /// The process of the endpoint has ended. No work is placed until the
     /// endpoint has been listed again.
     void record_process_ended(process_end proof, time_point now);
@@ -223,8 +241,8 @@
     }
 
     /// Removes and returns all runs if none of the leases can be valid any
-    /// more. Does nothing while a foreign run is known, as its lease is
-    /// unknown.
+    /// more, but for starts that the next process of the endpoint may still
+    /// get. Does nothing while a foreign run is known, as its lease is unknown.
     std::vector<finished_run> take_expired(time_point now);
 
     /// Removes and returns the runs that the ended process had confirmed. A
@@ -262,13 +280,16 @@
     crash_evidence crash_evidence_of(placed_run const& run,
                                      time_point found) const;
     finished_run take(run_map::iterator place, std::optional<run_end> end);
-    std::vector<finished_run> take_all();
+    /// Whether a new process may carry out a start order of the run.
+    bool may_start_later(placed_run const& run, time_point now) const;
 
     endpoint_record record_;
     std::int64_t token_ = 0;
     dispatch_limits limits_;
     endpoint_link link_ = endpoint_link::unread;
     lease_clock clock_;
+    std::string listed_ip_;
+    std::uint16_t listed_port_ = 0;
     /// Start time of the process that answered the last list; 0 if unknown.
     std::int64_t process_started_ms_ = 0;
     std::map<run_key, placed_run> runs_;
--- a/libs/dispatch/src/peer_liveness.cpp
+++ b/libs/dispatch/src/peer_liveness.cpp
@@ -107,8 +107,11 @@
 
 bool peer_liveness::is_alive(peer const& known, time_point now) const
 {
-    return !known.refused && known.last_received != time_point{} &&
-           now - known.last_received <= dead_after;
+    // A link that refuses connections one way says nothing about a peer whose
+    // heartbeats arrive the other way.
+    auto const limit = known.refused ? overdue_after : dead_after;
+    return known.last_received != time_point{} &&
+           now - known.last_received <= limit;
 }
 
 bool peer_liveness::is_overdue(peer const& known, time_point now) const
--- a/libs/dispatch/src/peer_roster.cpp
+++ b/libs/dispatch/src/peer_roster.cpp
@@ -211,6 +211,42 @@
     token_step_ = std::min(token_step_ * 2, largest_step);
 }
 
+void peer_roster::record_token(std::int64_t token)
+{
+    highest_token_ = std::max(highest_token_, token);
+}
+
+bool peer_roster::is_alive_since(entry_identity const& entry, time_point since,
+                                 time_point now) const
+{
+    if (!is_alive(entry, now))
+        return false;
+    auto const* const known = liveness_.find(entry.address);
+    return known == nullptr || known->alive_since <= since;
+}
+
+void peer_roster::begin_silence(std::string const& dispatcher)
+{
+    ++silences_[dispatcher];
+}
+
+void peer_roster::end_silence(std::string const& dispatcher)
+{
+    auto const found = silences_.find(dispatcher);
+    if (found != silences_.end() && --found->second == 0)
+        silences_.erase(found);
+}
+
+bool peer_roster::is_silent_to(std::string const& dispatcher) const
+{
+    return silences_.contains(dispatcher);
+}
+
+bool peer_roster::was_paused(time_point now) const
+{
+    return liveness_.was_paused(now);
+}
+
 void peer_roster::set_claims(std::vector<dispatch_claim> claims)
 {
     claims_ = std::move(claims);
--- a/libs/dispatch/tests/crashing_task_test.cpp
+++ b/libs/dispatch/tests/crashing_task_test.cpp
@@ -218,6 +218,58 @@
     CHECK(finished[0].result.reason == end_reason::endpoints_crashed);
 }
 
+// Seen as LOST: the lease ended between the two answers that show the crash,
+// and it counted twice.
+TEST_CASE("a crash that is noticed before and after the end of a lease counts "
+          "once")
+{
+    dispatcher_fixture f(4);
+    auto spec = make_spec("a", 1);
+    spec.caller_timeout = milliseconds(60'000);
+    f.tested.submit(spec, "home", f.now);
+    auto const starts = f.tested.take_starts();
+    REQUIRE(starts.size() == 1);
+    auto const id = starts[0].endpoint;
+    f.tested.start_answered(
+        starts[0], f.models.at(id).start(starts[0], f.clock(), run_time, false),
+        f.clock(), f.now);
+    f.tested.list_failed(id, order_response::connection_refused, f.now);
+    f.advance(milliseconds(20));
+    f.tested.list_failed(id, order_response::other_instance, f.now);
+    f.advance(milliseconds(1'500));
+    f.tested.list_failed(id, order_response::other_instance, f.now);
+    CHECK(f.tested.take_finished().empty());
+    CHECK(f.tested.take_starts().size() == 1);
+}
+
+// The age of a run at the crash was taken from the answer of the next process.
+TEST_CASE("a task is judged by its age when its endpoint refused connections, "
+          "not when the next process answers")
+{
+    dispatcher_fixture f(4);
+    f.tested.submit(make_spec("a", 1), "home", f.now);
+    auto const starts = f.tested.take_starts();
+    REQUIRE(starts.size() == 1);
+    auto const id = starts[0].endpoint;
+    auto& model = f.models.at(id);
+    f.tested.start_answered(starts[0],
+                            model.start(starts[0], f.clock(), run_time, false),
+                            f.clock(), f.now);
+    f.advance(milliseconds(20));
+    f.tested.list_failed(id, order_response::connection_refused, f.now);
+    model.restart(2'000);
+    f.advance(milliseconds(300));
+    f.tested.take_decisions();
+    f.read(id);
+    std::vector<std::string> outcomes;
+    for (auto const& each : f.tested.take_decisions())
+    {
+        if (each.event == "task_ended")
+            outcomes.emplace_back(each.outcome);
+    }
+    CHECK(outcomes == std::vector<std::string>{"crashed"});
+}
+
 TEST_CASE("an endpoint that has left as planned has not crashed")
 {
     dispatcher_fixture f(4);
--- a/libs/dispatch/tests/ended_process_test.cpp
+++ b/libs/dispatch/tests/ended_process_test.cpp
@@ -83,6 +83,83 @@
           order_response::outranked);
 }
 
+// The run was gone when its start timed out, and the endpoint was not listed.
+TEST_CASE("a start without a response is followed up also if its run has been "
+          "stopped meanwhile")
+{
+    dispatcher_fixture f(1);
+    auto const held_up = submit_one(f, "a");
+    f.tested.withdraw("a", "home", f.now);
+    f.deliver_orders();
+    f.advance(milliseconds(10));
+    f.read_all();
+    f.read_all();
+    REQUIRE(f.tested.runs() == 0);
+    f.advance(milliseconds(30));
+    f.tested.start_answered(held_up, order_response::unanswered, std::nullopt,
+                            f.now);
+    auto& restarted = f.models.at(held_up.endpoint);
+    restarted.restart(2'000);
+    f.advance(milliseconds(1'100));
+    f.read_all();
+    f.read_all();
+    CHECK(restarted.start(held_up, f.clock() - 90'000, run_time, false) ==
+          order_response::outranked);
+}
+
+TEST_CASE("an endpoint that was removed while a start was in transit rejects "
+          "it when it is back")
+{
+    dispatcher_fixture f(1);
+    auto const held_up = submit_one(f, "a");
+    f.lose_start(held_up);
+    f.tested.withdraw("a", "home", f.now);
+    f.deliver_orders();
+    f.read_all();
+    f.tested.remove_endpoint(held_up.endpoint);
+    f.advance(milliseconds(3'000));
+    auto& restarted = f.models.at(held_up.endpoint);
+    restarted.restart(2'000);
+    f.tested.update_endpoint(restarted.record());
+    f.read_all();
+    f.read_all();
+    CHECK(restarted.start(held_up, f.clock() - 90'000, run_time, false) ==
+          order_response::outranked);
+}
+
+// The list with the higher token did not get through, and the lease ended.
+TEST_CASE("a start that a new process may carry out is counted beyond its "
+          "lease")
+{
+    dispatcher_fixture f(2);
+    auto const held_up = submit_one(f, "a");
+    f.tested.start_answered(held_up, order_response::unanswered, std::nullopt,
+                            f.now);
+    f.tested.take_starts();
+    f.models.at(held_up.endpoint).restart(2'000);
+    f.read(held_up.endpoint);
+    f.advance(milliseconds(3'000));
+    CHECK(f.tested.take_starts().empty());
+    f.read(held_up.endpoint);
+    CHECK(f.tested.take_starts().size() == 1);
+}
+
+// A record with a wrong address led to an endpoint of another id.
+TEST_CASE("another process at another address does not end the runs of an "
+          "endpoint")
+{
+    dispatcher_fixture f(2);
+    auto const first = submit_one(f, "a");
+    confirm(f, first);
+    f.advance(milliseconds(10));
+    f.read_all();
+    auto record = make_endpoint(first.endpoint);
+    record.port = 2;
+    f.tested.update_endpoint(record);
+    fail_lists(f, first.endpoint, order_response::other_instance);
+    CHECK(f.tested.take_starts().empty());
+}
+
 // The record may have been written by someone else.
 TEST_CASE("a record with another start time does not end the runs there")
 {
--- a/libs/dispatch/tests/peer_roster_test.cpp
+++ b/libs/dispatch/tests/peer_roster_test.cpp
@@ -264,3 +264,39 @@
                              after_discovery);
     CHECK(foreign.should_retire(cell, "dc", after_discovery));
 }
+
+// A link that refused connections one way made its peer count as dead, and the
+// cell was claimed while it was dispatched.
+TEST_CASE("a peer whose heartbeats arrive is alive although its connections "
+          "are refused")
+{
+    auto const peer = make_entry("10.0.0.2:1", 500);
+    peer_roster tested(make_entry("10.0.0.1:1"), start);
+    auto now = after_discovery;
+    for (int i = 0; i < 20; ++i)
+    {
+        tested.record_heartbeat(make_heartbeat(peer, make_claim(5, 10)), now);
+        tested.record_connection_refused(peer.address);
+        now += milliseconds(100);
+        CHECK(tested.is_alive(peer, now));
+        CHECK_FALSE(tested.should_claim(cell, "dc", now));
+    }
+    tested.record_connection_refused(peer.address);
+    CHECK_FALSE(tested.is_alive(peer, now + milliseconds(100)));
+}
+
+// The first heartbeat after a pause made an entry alive whose jobs had been
+// submitted elsewhere meanwhile.
+TEST_CASE("a peer that was silent has not been alive since before")
+{
+    auto const peer = make_entry("10.0.0.2:1");
+    peer_roster tested(make_entry("10.0.0.1:1"), start);
+    tested.record_heartbeat(make_heartbeat(peer), start);
+    auto const submitted = start + milliseconds(50);
+    CHECK(tested.is_alive_since(peer, submitted, submitted));
+    auto const back = start + milliseconds(3'000);
+    tested.record_heartbeat(make_heartbeat(peer), back);
+    CHECK(tested.is_alive(peer, back));
+    CHECK_FALSE(tested.is_alive_since(peer, submitted, back));
+    CHECK(tested.is_alive_since(peer, back, back));
+}
