A dispatcher that was paused or suspended starts nothing that others have given up

What callers would see: a task that runs twice at the same time (TWICE). DEPLOY.md: a VM may be suspended for seconds, which the steady clock does not count.

Cause: a dispatcher that wakes takes the entries of its jobs for alive, its leases have ended, and it places the tasks again, while their callers have been told "unknown" and have submitted the jobs elsewhere.

- A job is lost to its dispatcher when its entry has not been alive without interruption since it was submitted.
This is checked before a response or a withdrawal is used after a pause of over 300 ms, and jobs that were read before the first step after it are returned to their entries as not dispatched.
- After a pause a dispatcher does not raise its token for 450 ms: its successor's claim may not have arrived.
- An entry that gets no answer to a withdrawal goes on trying for 4.5 s in place of 0.9 s, and is silent to that dispatcher from the third try on.
Before, one that was heard by the dispatcher but could not reach it left the job running.
- The loop that lists an endpoint ends when the endpoint was removed and added again.

The order of events on waking is tested in the model only, not on real processes.

--- a/libs/daemon/src/job.hpp
+++ b/libs/daemon/src/job.hpp
@@ -50,7 +50,7 @@
 {
     job(boost::asio::any_io_executor const& executor, submission accepted)
         : submitted(std::move(accepted)),
-          ended_event(executor, time_point::max()),
+          ended_event(executor, boost::asio::steady_timer::time_point::max()),
           deadline_timer(executor)
     {
     }
--- a/libs/daemon/src/job_runner.cpp
+++ b/libs/daemon/src/job_runner.cpp
@@ -224,7 +224,7 @@
         timer_.cancel();
         return;
     }
-    timer_.expires_at(*next);
+    timer_.expires_after(*next - now);
     timer_.async_wait(
         [this](boost::system::error_code error)
         {
@@ -235,7 +235,8 @@
 
 void job_runner::arm_deadline(job_ptr const& started)
 {
-    started->deadline_timer.expires_at(started->deadline);
+    started->deadline_timer.expires_after(started->deadline -
+                                          steady_clock::now());
     started->deadline_timer.async_wait(
         [this,
          watched = std::weak_ptr(started)](boost::system::error_code error)
--- a/libs/daemon/tests/runner_fixture.hpp
+++ b/libs/daemon/tests/runner_fixture.hpp
@@ -60,7 +60,7 @@
     fake_endpoint(asio::any_io_executor const& executor,
                   request_handler responds)
         : handler_(std::move(responds)),
-          never_(executor, time_point::max()),
+          never_(executor, asio::steady_timer::time_point::max()),
           server_(
               executor, {},
               [this](http_request request)
--- a/libs/daemon/tests/supervisor_test.cpp
+++ b/libs/daemon/tests/supervisor_test.cpp
@@ -25,7 +25,7 @@
     supervisor root(context.get_executor(), "root");
     int failing_runs = 0;
     int steady_runs = 0;
-    asio::steady_timer forever(context, time_point::max());
+    asio::steady_timer forever(context, asio::steady_timer::time_point::max());
     auto& below = root.add_supervisor("below");
     below.add("failing",
               [&]() -> asio::awaitable<void>
@@ -59,7 +59,7 @@
     supervisor root(context.get_executor(), "root");
     int waiting_runs = 0;
     int failing_runs = 0;
-    asio::steady_timer forever(context, time_point::max());
+    asio::steady_timer forever(context, asio::steady_timer::time_point::max());
     root.add("waiting",
              [&]() -> asio::awaitable<void>
              {
--- a/libs/gateway/src/cell_runner.cpp
+++ b/libs/gateway/src/cell_runner.cpp
@@ -27,6 +27,9 @@
 /// How often to look for jobs whose entry no longer sends heartbeats.
 constexpr milliseconds origin_check_interval{50};
 
+/// A longer time between two steps means that the process was paused.
+constexpr milliseconds longest_step{300};
+
 /// How often learnt speeds are sent to a peer. They change slowly.
 constexpr milliseconds speeds_interval{1'000};
 constexpr milliseconds peer_timeout{400};
@@ -37,6 +40,13 @@
     return std::chrono::duration_cast<std::chrono::seconds>(now).count();
 }
 
+std::int64_t new_token(dispatch::peer_roster& roster)
+{
+    auto const token = roster.next_token(unix_seconds());
+    roster.record_token(token);
+    return token;
+}
+
 dispatch::dispatch_limits limits_of(config::gateway_bounds const& bounds)
 {
     return {bounds.longest_lease, bounds.remote_factor};
@@ -54,8 +64,11 @@
       executor_(std::move(executor)),
       cell_(std::move(cell)),
       dispatcher_(std::make_unique<dispatch::dispatcher>(
-          limits_of(state.settings.bounds),
-          state.roster.next_token(unix_seconds()))),
+          limits_of(state.settings.bounds), new_token(state.roster),
+          [this](std::int64_t current)
+          {
+              return next_token(current);
+          })),
       dispatching_since_(steady_clock::now())
 {
     for (auto const& [vm, speed] : state_.learnt_speeds)
@@ -73,8 +86,19 @@
                 : -1;
 }
 
+std::int64_t cell_runner::next_token(std::int64_t current)
+{
+    // Another entry that dispatches the cell must not be outranked.
+    auto const now = steady_clock::now();
+    if (state_.roster.was_paused(now) ||
+        state_.roster.has_other_dispatcher(cell_, now))
+        return current;
+    return new_token(state_.roster);
+}
+
 void cell_runner::step(time_point now)
 {
+    stepped_ = now;
     if (retiring_)
         hand_over();
     else
@@ -142,11 +166,12 @@
 {
     if (dispatcher_->outranked() == 0 ||
         now - token_advanced_ < token_advance_interval ||
+        state_.roster.was_paused(now) ||
         state_.roster.has_other_dispatcher(cell_, now))
         return;
     token_advanced_ = now;
     state_.roster.record_unknown_token();
-    auto const token = state_.roster.next_token(unix_seconds());
+    auto const token = new_token(state_.roster);
     log_event(log_level::info, "token_raised",
               {{"cell", cell_},
                {"token", token},
@@ -214,8 +239,10 @@
         log_level::info, "endpoints_released",
         {{"cell", cell_}, {"endpoints", endpoints.size()}, {"last", last}});
     if (dispatcher_->outranked() > 0)
-        dispatcher_->advance_token(state_.roster.next_token(unix_seconds()));
-    add_endpoints(steady_clock::now());
+        dispatcher_->advance_token(new_token(state_.roster));
+    auto const now = steady_clock::now();
+    catch_up_after_pause(now);
+    add_endpoints(now);
     flush();
 }
 
@@ -283,8 +310,14 @@
 cell_runner::run_job(self_ptr self, dispatch::job_spec job,
                      dispatch::entry_identity origin)
 {
+    auto const now = steady_clock::now();
+    // It may have been sent before the pause, and be withdrawn by now.
+    if (self->is_resuming(now))
+        co_return dispatch::job_result{dispatch::job_end::refused,
+                                       dispatch::end_reason::not_dispatcher};
     job_key const key{job.id, origin_name(origin)};
-    auto const waiting = std::make_shared<waiting_job>(self->executor_, origin);
+    auto const waiting =
+        std::make_shared<waiting_job>(self->executor_, origin, now);
     auto const earlier = self->waiting_.find(key);
     if (earlier != self->waiting_.end())
     {
@@ -293,7 +326,7 @@
         earlier->second->ended.cancel();
     }
     self->waiting_[key] = waiting;
-    self->dispatcher_->submit(std::move(job), key.second, steady_clock::now());
+    self->dispatcher_->submit(std::move(job), key.second, now);
     self->flush();
     while (!waiting->result)
         co_await waiting->ended.async_wait(as_values);
@@ -303,7 +336,9 @@
 void cell_runner::withdraw(std::string const& id,
                            dispatch::entry_identity const& origin)
 {
-    dispatcher_->withdraw(id, origin_name(origin), steady_clock::now());
+    auto const now = steady_clock::now();
+    catch_up_after_pause(now);
+    dispatcher_->withdraw(id, origin_name(origin), now);
     flush();
 }
 
@@ -316,7 +351,7 @@
     for (auto const& [key, job] : waiting_)
     {
         if (!job->result && !lost.contains(key.second) &&
-            !state_.roster.is_alive(job->origin, now))
+            !state_.roster.is_alive_since(job->origin, job->submitted, now))
             lost.insert(key.second);
     }
     for (auto const& origin : lost)
@@ -328,6 +363,19 @@
     flush();
 }
 
+void cell_runner::catch_up_after_pause(time_point now)
+{
+    if (!is_resuming(now))
+        return;
+    origins_checked_ = {};
+    cancel_jobs_of_lost_origins(now);
+}
+
+bool cell_runner::is_resuming(time_point now) const
+{
+    return now - stepped_ > longest_step;
+}
+
 void cell_runner::deliver(dispatch::finished_job const& job)
 {
     // A superseded result belongs to an earlier submission with the same id and
--- a/libs/gateway/src/cell_runner.hpp
+++ b/libs/gateway/src/cell_runner.hpp
@@ -75,13 +75,16 @@
     struct waiting_job
     {
         waiting_job(asio::any_io_executor const& executor,
-                    dispatch::entry_identity from)
-            : ended(executor, time_point::max()), origin(std::move(from))
+                    dispatch::entry_identity from, time_point now)
+            : ended(executor, asio::steady_timer::time_point::max()),
+              origin(std::move(from)),
+              submitted(now)
         {
         }
 
         asio::steady_timer ended;
         dispatch::entry_identity origin;
+        time_point submitted;
         std::optional<dispatch::job_result> result;
     };
 
@@ -90,11 +93,18 @@
 
     void hand_over();
     void advance_token(time_point now);
+    /// Returns the current token if this entry may not use a higher one now.
+    std::int64_t next_token(std::int64_t current);
     void add_endpoints(time_point now);
     bool may_take(std::string const& endpoint, time_point now) const;
     /// Age of the list of endpoints. -1: none was read yet.
     std::int64_t list_age_ms(time_point now) const;
     void cancel_jobs_of_lost_origins(time_point now);
+    /// To be called before the response to an order is used. After a pause,
+    /// jobs may be unwanted: their runs must not be started again.
+    void catch_up_after_pause(time_point now);
+    /// Whether the process was paused and has made no step since.
+    bool is_resuming(time_point now) const;
 
     static asio::awaitable<void> watch_endpoint(self_ptr self,
                                                 std::string endpoint);
@@ -137,6 +147,7 @@
     time_point token_advanced_{};
     time_point speeds_shared_{};
     time_point origins_checked_{};
+    time_point stepped_ = steady_clock::now();
     std::set<std::string> released_;
     bool all_released_ = false;
     /// All endpoints of the cell, including those that the former dispatcher
--- a/libs/gateway/src/endpoint_io.cpp
+++ b/libs/gateway/src/endpoint_io.cpp
@@ -41,12 +41,13 @@
                                                   std::string endpoint)
 {
     unsigned failures = 0;
+    auto const wake = self->watch_timers_.at(endpoint);
     while (!self->stopped_)
     {
+        // Another loop watches an endpoint that was removed and added again.
         auto const found = self->watch_timers_.find(endpoint);
-        if (found == self->watch_timers_.end())
+        if (found == self->watch_timers_.end() || found->second != wake)
             co_return;
-        auto const wake = found->second;
         auto const order =
             self->dispatcher_->next_list(endpoint, steady_clock::now());
         auto wait = idle_pause;
@@ -106,6 +107,7 @@
         endpoint, platform::encode_list(order, endpoint), order.wait);
     if (stopped_)
         co_return false;
+    catch_up_after_pause(steady_clock::now());
     auto response = dispatch::order_response::unanswered;
     if (result)
     {
@@ -158,6 +160,7 @@
         response.outcome = response_of(result.error());
     if (self->stopped_)
         co_return;
+    self->catch_up_after_pause(steady_clock::now());
     self->dispatcher_->start_answered(order, response.outcome, response.clock,
                                       steady_clock::now());
     self->flush();
@@ -171,6 +174,7 @@
         milliseconds(0));
     if (self->stopped_)
         co_return;
+    self->catch_up_after_pause(steady_clock::now());
     auto const response =
         result ? platform::decode_endpoint_response(*result).outcome
                : response_of(result.error());
--- a/libs/gateway/src/job_service.cpp
+++ b/libs/gateway/src/job_service.cpp
@@ -26,9 +26,13 @@
 
 /// A withdrawal is sent again until there is a response: the runs have to be
 /// stopped before the caller submits the job again, after 1,300 ms.
-constexpr int withdrawal_tries = 6;
+constexpr int withdrawal_tries = 30;
 constexpr milliseconds withdrawal_timeout{150};
 
+/// After this many tries without a response, this entry becomes silent to the
+/// dispatcher, which then cancels its jobs within 500 ms.
+constexpr int tries_before_silence = 2;
+
 } // namespace
 
 struct job_service::submission
@@ -256,19 +260,27 @@
     content.id = job->job.id;
     content.cell = job->cell;
     content.origin = to_wire(self.state_.roster.self());
-    for (int tried = 0; tried < withdrawal_tries; ++tried)
+    bool silent = false;
+    bool answered = false;
+    for (int tried = 0; tried < withdrawal_tries && !answered; ++tried)
     {
+        if (tried == tries_before_silence)
+        {
+            self.state_.roster.begin_silence(dispatcher);
+            silent = true;
+        }
         auto message = peer_link::make_message(content);
         auto const until = steady_clock::now() + withdrawal_timeout;
         auto const result = co_await call_peer(self.peers_, dispatcher,
                                                std::move(message), until);
-        if (result)
-            co_return;
-        if (steady_clock::now() < until)
+        answered = result.has_value();
+        if (!answered && steady_clock::now() < until)
             co_await pause(until - steady_clock::now());
     }
-    // No more retries: the dispatcher cancels the jobs of an entry whose
-    // heartbeats it no longer receives.
+    if (silent)
+        self.state_.roster.end_silence(dispatcher);
+    if (answered)
+        co_return;
     log_event(log_level::warning, "withdrawal_unanswered",
               {{"job", content.id}, {"dispatcher", dispatcher}});
 }
--- a/libs/gateway/src/peer_exchange.cpp
+++ b/libs/gateway/src/peer_exchange.cpp
@@ -45,8 +45,12 @@
     for (;;)
     {
         for (auto const& peer : state_.roster.targets(steady_clock::now()))
+        {
+            if (state_.roster.is_silent_to(peer))
+                continue;
             asio::co_spawn(executor, send_heartbeat(*this, peer),
                            asio::detached);
+        }
         co_await pause(heartbeat_interval);
     }
 }
@@ -134,6 +138,10 @@
     case pulse_call:
     {
         auto const heartbeat = from_wire(call.pulse_call);
+        refused_connections_.erase(heartbeat.sender.address);
+        if (state_.roster.is_silent_to(heartbeat.sender.address))
+            co_return refuse({result_code::overloaded,
+                              "a withdrawal of a job was not answered"});
         state_.roster.record_heartbeat(heartbeat, now);
         wire::pulse_reply reply;
         reply.beat = to_wire(state_.roster.response_to(heartbeat, now));
--- a/libs/peer_link/src/frame_stream.cpp
+++ b/libs/peer_link/src/frame_stream.cpp
@@ -43,7 +43,7 @@
       limits_(limits),
       last_arrival_(steady_clock::now())
 {
-    wake_.expires_at(time_point::max());
+    wake_.expires_at(asio::steady_timer::time_point::max());
 }
 
 asio::ip::tcp::socket& frame_stream::socket()
--- a/libs/peer_link/src/peer_connection.hpp
+++ b/libs/peer_link/src/peer_connection.hpp
@@ -32,7 +32,8 @@
 {
     pending_call(boost::asio::any_io_executor const& executor,
                  time_point deadline, message_kind expected)
-        : timer(executor, deadline), expected_kind(expected)
+        : timer(executor, deadline - steady_clock::now()),
+          expected_kind(expected)
     {
     }
 
--- a/libs/transport/src/http_client.cpp
+++ b/libs/transport/src/http_client.cpp
@@ -250,8 +250,8 @@
             co_return failed(call_stage::not_connected, result_code::io_error,
                              error.message());
         auto created = std::make_unique<connection>(executor_);
-        created->stream.expires_at(
-            std::min(deadline, steady_clock::now() + limits_.connect));
+        created->stream.expires_after(std::min<duration>(
+            deadline - steady_clock::now(), limits_.connect));
         auto [connect_error] =
             co_await created->stream.async_connect(target, as_values);
         if (connect_error)
@@ -273,7 +273,7 @@
     exchange(connection& used, http::request<http::string_body> message,
              time_point deadline)
     {
-        used.stream.expires_at(deadline);
+        used.stream.expires_after(deadline - steady_clock::now());
         auto [write_error, sent] =
             co_await http::async_write(used.stream, message, as_values);
         if (write_error)
--- a/libs/transport/src/http_server.cpp
+++ b/libs/transport/src/http_server.cpp
@@ -70,7 +70,8 @@
             auto const late = watched.lock();
             // The read may have ended while this handler was queued.
             if (error || !late ||
-                steady_clock::now() < late->read_timer.expiry())
+                asio::steady_timer::clock_type::now() <
+                    late->read_timer.expiry())
                 return;
             late->read_timed_out = true;
             late->stream.cancel();
@@ -309,7 +310,7 @@
         request_parser parser;
         start_read_timer(owned, limits_.request_read);
         auto const error = co_await read(active, parser);
-        active.read_timer.expires_at(time_point::max());
+        active.read_timer.expires_at(asio::steady_timer::time_point::max());
         if (active.read_timed_out)
         {
             failure const late{result_code::request_timeout,
--- a/tools/capacity/src/load.cpp
+++ b/tools/capacity/src/load.cpp
@@ -79,7 +79,7 @@
         asio::co_spawn(timer.get_executor(),
                        submit(client, entry, body, counts), asio::detached);
         next += interval;
-        timer.expires_at(next);
+        timer.expires_after(next - steady_clock::now());
         co_await timer.async_wait(asio::use_awaitable);
     }
 }
