A list whose runs in progress can't all be read ends no run

What callers would see: a task that runs twice at the same time (TWICE) when a row of `running` in an endpoint's list can't be read, or the whole array is missing or of another type.

Cause: the row was left out, and the rest of the list counted as all that is at work there. The run that the row stood for counted as ended, and its task was started on another endpoint.

decode_list now says whether the list is complete: `running` is there and each of its rows was read. From one that is not, the dispatcher takes the rows that it can read, and concludes nothing from absence; an endpoint that has not been read before gets no start either, as runs of another dispatcher may be at work there. Known runs keep their leases. The next list follows after the pause of a failed call.

A row of `ended_runs` that can't be read does not make a list incomplete: it says only how a run has ended, that it has ended a complete list shows too; and with the whole list refused, one odd row, which is listed until a higher end is acknowledged, would take the endpoint out for good. The pause bounds how often such a list is read again: an end that is not acknowledged is listed at once.

--- a/libs/dispatch/include/dispatch/endpoint_calls.hpp
+++ b/libs/dispatch/include/dispatch/endpoint_calls.hpp
@@ -125,6 +125,9 @@
     /// Start of the endpoint's incarnation; 0 if the endpoint does not report
     /// it.
     std::int64_t started_ms = 0;
+    /// All runs in progress are in `active`. Otherwise a run that is not in it
+    /// may be at work.
+    bool complete = true;
 };
 
 } // namespace masticshift::dispatch
--- a/libs/dispatch/src/endpoint_account.cpp
+++ b/libs/dispatch/src/endpoint_account.cpp
@@ -284,7 +284,8 @@
     process_ended_ = false;
     changes.restarted = reset_if_restarted(list.started_ms, now);
     expired_.clear();
-    if (link_ != endpoint_link::outranked)
+    // Until a complete list, runs of other dispatchers may be unknown here.
+    if (link_ != endpoint_link::outranked && list.complete)
         link_ = endpoint_link::active;
     for (auto const& ended : list.ended)
     {
@@ -299,6 +300,8 @@
         apply_active(seen, sent, now, changes);
         active.insert(seen.run);
     }
+    if (!list.complete)
+        return changes;
     for (auto place = runs_.begin(); place != runs_.end();)
     {
         auto const next = std::next(place);
--- a/libs/gateway/src/cell_runner.hpp
+++ b/libs/gateway/src/cell_runner.hpp
@@ -104,7 +104,8 @@
                   milliseconds wait);
     asio::awaitable<bool> read_list(std::string endpoint,
                                     dispatch::list_order order);
-    void apply_list(std::string const& endpoint,
+    /// Returns whether all of the list could be read.
+    bool apply_list(std::string const& endpoint,
                     dispatch::list_order const& order, time_point sent,
                     transport::http_response const& response);
     static asio::awaitable<void> send_start(self_ptr self,
--- a/libs/gateway/src/endpoint_io.cpp
+++ b/libs/gateway/src/endpoint_io.cpp
@@ -111,10 +111,7 @@
     {
         response = platform::decode_endpoint_response(*result).outcome;
         if (response == dispatch::order_response::accepted)
-        {
-            apply_list(endpoint, order, sent, *result);
-            co_return true;
-        }
+            co_return apply_list(endpoint, order, sent, *result);
     }
     else
     {
@@ -125,7 +122,7 @@
     co_return false;
 }
 
-void cell_runner::apply_list(std::string const& endpoint,
+bool cell_runner::apply_list(std::string const& endpoint,
                              dispatch::list_order const& order, time_point sent,
                              transport::http_response const& response)
 {
@@ -134,7 +131,9 @@
     if (!decoded || skipped > 0)
         log_event(log_level::warning, "list_unreadable",
                   {{"endpoint", endpoint},
+                   {"code", static_cast<int>(result_code::platform_bad_answer)},
                    {"skipped", skipped},
+                   {"complete", decoded && decoded->list.complete},
                    {"detail", decoded ? "" : decoded.error().detail}});
     if (!decoded)
         dispatcher_->list_failed(endpoint, dispatch::order_response::malformed,
@@ -143,6 +142,9 @@
         dispatcher_->list_answered(endpoint, order, decoded->list,
                                    decoded->clock, sent, steady_clock::now());
     flush();
+    // An end that can't be read is not acknowledged, and the endpoint lists it
+    // at once again.
+    return decoded && skipped == 0;
 }
 
 asio::awaitable<void> cell_runner::send_start(self_ptr self,
