Another process at an address that an entry names by mistake ends no run

What callers would see: a task that runs twice at the same time (TWICE) when another writer gives the entry of an endpoint the address of another one, until the endpoint writes its entry again, 1.5 s later at most.

Cause: two lists in a row that were answered `other_instance` counted as proof that the process of the endpoint had ended. At the wrong address that answer is right, and says nothing about the process that works on at the former one. It is proof only at the address at which the endpoint was listed last. list_order carries the number of the address for that, as the entry may change while a list is in transit. A process that has moved shows in its lists by its start time, and runs end with their leases as before.

odd_entry_test of libs/dispatch "an entry with the address of another endpoint does not end the runs of its own" failed before.

--- a/libs/dispatch/include/dispatch/endpoint_calls.hpp
+++ b/libs/dispatch/include/dispatch/endpoint_calls.hpp
@@ -58,6 +58,9 @@
     /// How long the endpoint may wait for a run to end before it responds (long
     /// polling).
     milliseconds wait{0};
+    /// Number of the endpoint's address that it is sent to. Counts the changes
+    /// of the record.
+    int address_number = 0;
 };
 
 /// Outcome of an order to an endpoint.
--- a/libs/dispatch/src/dispatcher.cpp
+++ b/libs/dispatch/src/dispatcher.cpp
@@ -218,7 +218,8 @@
         account->record_outranked();
     else
         account->record_call_failure(now);
-    auto const proof = process_end::from_list_response(response);
+    auto const proof =
+        process_end::from_list_response(response, account->was_listed_here());
     if (!proof)
         return;
     bool const confirmed = account->process_ended();
--- a/libs/dispatch/src/endpoint_account.cpp
+++ b/libs/dispatch/src/endpoint_account.cpp
@@ -63,9 +63,16 @@
 
 void endpoint_account::update(endpoint_record record)
 {
+    if (record.ip != record_.ip || record.port != record_.port)
+        ++address_number_;
     record_ = std::move(record);
 }
 
+bool endpoint_account::was_listed_here() const
+{
+    return listed_address_ == address_number_;
+}
+
 bool endpoint_account::advance_token(std::int64_t token)
 {
     if (link_ == endpoint_link::active)
@@ -166,7 +173,8 @@
 
 std::optional<list_order> endpoint_account::next_list(time_point now)
 {
-    list_order order{token_, seen_end_, std::nullopt, milliseconds(0)};
+    list_order order{token_, seen_end_, std::nullopt, milliseconds(0),
+                     address_number_};
     switch (link_)
     {
     case endpoint_link::outranked:
@@ -282,6 +290,7 @@
 {
     list_changes changes;
     process_ended_ = false;
+    listed_address_ = order.address_number;
     changes.restarted = reset_if_restarted(list.started_ms, now);
     expired_.clear();
     // Until a complete list, runs of other dispatchers may be unknown here.
--- a/libs/dispatch/src/endpoint_account.hpp
+++ b/libs/dispatch/src/endpoint_account.hpp
@@ -149,6 +149,9 @@
 
     void update(endpoint_record record);
 
+    /// Whether the present address of the record has answered the last list.
+    bool was_listed_here() const;
+
     /// Switches to a higher token unless the endpoint is active with the
     /// present one. Returns whether it did; the endpoint then has to be listed
     /// again.
@@ -271,6 +274,10 @@
     lease_clock clock_;
     /// Start time of the process that answered the last list; 0 if unknown.
     std::int64_t process_started_ms_ = 0;
+    /// Counts the changes of the record's address, and which one of them
+    /// answered the last list.
+    int address_number_ = 0;
+    std::optional<int> listed_address_;
     std::map<run_key, placed_run> runs_;
     /// Runs whose leases have ended since the last list.
     std::vector<finished_run> expired_;
--- a/libs/dispatch/src/process_end.hpp
+++ b/libs/dispatch/src/process_end.hpp
@@ -17,13 +17,14 @@
 class process_end
 {
 public:
-    /// From the response to a list order. Another process at the address of the
-    /// endpoint is proof. Responses to other orders may be older than the last
-    /// list.
+    /// From the response to a list order. Another process at the address at
+    /// which the endpoint was listed last is proof. At another address, which a
+    /// record may name by mistake, it is none. Responses to other orders may be
+    /// older than the last list.
     static std::optional<process_end>
-    from_list_response(order_response response)
+    from_list_response(order_response response, bool was_listed_here)
     {
-        if (response != order_response::other_instance)
+        if (response != order_response::other_instance || !was_listed_here)
             return std::nullopt;
         return process_end();
     }
--- a/libs/dispatch/tests/odd_entry_test.cpp
+++ b/libs/dispatch/tests/odd_entry_test.cpp
@@ -101,3 +101,43 @@
     f.read("x");
     CHECK(f.tested.take_starts().size() == 1);
 }
+
+// A writer gives the entry of an endpoint the address of another one, whose
+// process rejects the calls: that says nothing about the process that works on
+// at the former address.
+TEST_CASE("an entry with the address of another endpoint does not end the runs "
+          "of its own")
+{
+    dispatcher_fixture f(2);
+    auto const first = start_one(f);
+    auto record = make_endpoint(first.endpoint);
+    record.port = static_cast<std::uint16_t>(record.port + 1);
+    f.tested.update_endpoint(record);
+    for (int i = 0; i < 5; ++i)
+    {
+        f.tested.list_failed(first.endpoint, order_response::other_instance,
+                             f.now);
+        f.advance(milliseconds(5));
+        CHECK(f.tested.take_starts().empty());
+        CHECK(f.tested.take_finished().empty());
+    }
+    f.tested.update_endpoint(make_endpoint(first.endpoint));
+    f.advance(run_time);
+    f.read_all();
+    auto const finished = f.tested.take_finished();
+    REQUIRE(finished.size() == 1);
+    CHECK(finished[0].result.end == job_end::completed);
+}
+
+TEST_CASE("another process at the address at which an endpoint was listed ends "
+          "its runs")
+{
+    dispatcher_fixture f(2);
+    auto const first = start_one(f);
+    for (int i = 0; i < 2; ++i)
+        f.tested.list_failed(first.endpoint, order_response::other_instance,
+                             f.now);
+    auto const again = f.tested.take_starts();
+    REQUIRE(again.size() == 1);
+    CHECK(again[0].endpoint != first.endpoint);
+}
