A call that can't be sent as a valid request fails instead of throwing

What operators would see: "the machines that read the list stopped following it". A header field of 64 KB made Beast throw out of the call, and nothing restarts the coroutines that call an endpoint. By reading, not by a run: the endpoint is not listed again, and after a probe has thrown its cell counts as being probed for good. A line break in a field, or a space in the target, changed the request instead.

odd_message_test "a request that can't be a valid one fails without being written" threw before ("field value too large"). "any odd response gives a response or a failure ..." and "a call to an address that is not an IP address fails unsent" passed before.

--- a/libs/transport/include/transport/http_client.hpp
+++ b/libs/transport/include/transport/http_client.hpp
@@ -84,7 +84,8 @@
     http_client& operator=(http_client const&) = delete;
 
     /// Sends one request and waits for its complete response until `deadline`.
-    /// Never sends the same request twice.
+    /// Never sends the same request twice. A request whose method, target or
+    /// fields can't be sent fails with `malformed_request`.
     boost::asio::awaitable<call_result> call(std::string ip, std::uint16_t port,
                                              http_request request,
                                              time_point deadline,
--- a/libs/transport/src/http_client.cpp
+++ b/libs/transport/src/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include "beast_types.hpp"
 
+#include <algorithm>
 #include <map>
 #include <netinet/tcp.h>
 #include <ostream>
@@ -96,6 +97,56 @@
     return result_code::io_error;
 }
 
+/// Beast throws for a field of 64 KB.
+constexpr std::size_t longest_request_header = 60'000;
+
+bool is_token(std::string_view text)
+{
+    constexpr std::string_view marks = "!#$%&'*+-.^_`|~";
+    return !text.empty() &&
+           std::ranges::all_of(text,
+                               [&](char c)
+                               {
+                                   return (c >= 'a' && c <= 'z') ||
+                                          (c >= 'A' && c <= 'Z') ||
+                                          (c >= '0' && c <= '9') ||
+                                          marks.find(c) != marks.npos;
+                               });
+}
+
+bool is_target(std::string_view text)
+{
+    constexpr unsigned char del = 0x7f;
+    return !text.empty() &&
+           std::ranges::all_of(text,
+                               [](char c)
+                               {
+                                   auto const byte =
+                                       static_cast<unsigned char>(c);
+                                   return byte > ' ' && byte != del;
+                               });
+}
+
+bool is_field_value(std::string_view text)
+{
+    constexpr std::string_view line_ends("\r\n\0", 3);
+    return text.find_first_of(line_ends) == text.npos;
+}
+
+/// Whether a request can be sent without a change of its meaning.
+bool is_valid(http_request const& request)
+{
+    auto bytes = request.method.size() + request.target.size();
+    for (auto const& field : request.fields.list)
+    {
+        bytes += field.name.size() + field.value.size();
+        if (!is_token(field.name) || !is_field_value(field.value))
+            return false;
+    }
+    return bytes <= longest_request_header && is_token(request.method) &&
+           is_target(request.target);
+}
+
 http::request<http::string_body> make_message(http_request request)
 {
     http::request<http::string_body> message;
@@ -142,6 +193,10 @@
     call(std::shared_ptr<impl> self, std::string ip, std::uint16_t port,
          http_request request, time_point deadline, call_checks checks)
     {
+        if (!is_valid(request))
+            co_return failed(call_stage::not_connected,
+                             result_code::malformed_request,
+                             "method, target or a field can't be sent");
         auto const shared_pool = self->pool_of(ip, port);
         auto used = take_pooled(*shared_pool, self->limits_.idle);
         in_use_guard const counted(shared_pool);
