Speeds of other processes that are no number are not adopted

A speed that is no number, infinite or near the bounds of a double became an expected run time that no duration can hold. Speeds from 1/1000 to 1000 are adopted.

speed_estimator_test "a learnt speed that is no number or out of range is not adopted" failed before.

--- a/libs/dispatch/src/speed_estimator.cpp
+++ b/libs/dispatch/src/speed_estimator.cpp
@@ -18,6 +18,9 @@
 /// fast enough.
 constexpr double queue_weight = 0.01;
 
+/// Bound of the speeds taken from other processes.
+constexpr double largest_speed = 1'000;
+
 /// Lower bound of run times, as the logarithm of 0 ms is infinite.
 constexpr duration min_run_time = std::chrono::microseconds(500);
 
@@ -91,7 +94,9 @@
 
 void speed_estimator::adopt(std::string const& vm, double speed)
 {
-    if (speed <= 0 || vms_.contains(vm))
+    // Also false for what is no number.
+    bool const valid = speed >= 1 / largest_speed && speed <= largest_speed;
+    if (!valid || vms_.contains(vm))
         return;
     vms_[vm] = {std::log(speed), 4};
 }
--- a/libs/dispatch/tests/speed_estimator_test.cpp
+++ b/libs/dispatch/tests/speed_estimator_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <limits>
+
 using namespace masticshift;
 using namespace masticshift::dispatch;
 
@@ -40,3 +42,24 @@
     tested.adopt("a", 2);
     CHECK(tested.speed("a") == doctest::Approx(0.5));
 }
+
+// Speeds come from other processes.
+TEST_CASE("a learnt speed that is no number or out of range is not adopted")
+{
+    constexpr milliseconds estimate{50};
+    for (double const odd : {std::numeric_limits<double>::quiet_NaN(),
+                             std::numeric_limits<double>::infinity(),
+                             -std::numeric_limits<double>::infinity(), -1.0,
+                             0.0, std::numeric_limits<double>::min(),
+                             std::numeric_limits<double>::max(), 1e-9, 1e9})
+    {
+        CAPTURE(odd);
+        speed_estimator tested;
+        tested.adopt("vm", odd);
+        CHECK(tested.speed("vm") == doctest::Approx(1));
+        CHECK(tested.expected("q", "vm", estimate) == estimate);
+    }
+    speed_estimator tested;
+    tested.adopt("vm", 0.5);
+    CHECK(tested.speed("vm") == doctest::Approx(0.5));
+}
