Heartbeats of senders without a valid address are refused

What operators would see: a heartbeat whose sender is "host:80" or has port 0 counted as a live entry, and with a claim as the dispatcher of a cell, to which jobs were sent that nobody could take. With an incarnation near 2^63 all later heartbeats of the real entry counted as outdated. A token out of range was brought to 2^52, which raised the tokens of all entries to there. Only entries send such messages; a stranger at the port could.

Such a heartbeat or job is refused with `peer_protocol` and logged once for each reason (`peer_message_refused`). Odd rows about other entries are left out, the others hold; so are odd keys in the table of entries. A relayed read waits for 5 s at most.

Rows of the store that are left out are logged with their number (`store_rows_skipped`), refused configurations and lists with their code; before, they were not.

--- a/libs/gateway/src/configuration_watch.cpp
+++ b/libs/gateway/src/configuration_watch.cpp
@@ -34,7 +34,9 @@
     if (!decoded)
     {
         log_event(log_level::error, "configuration_malformed",
-                  {{"source", source}, {"detail", decoded.error().detail}});
+                  {{"source", source},
+                   {"code", static_cast<int>(decoded.error().code)},
+                   {"detail", decoded.error().detail}});
         return;
     }
     if (decoded->version <= state_.configuration_version)
--- a/libs/gateway/src/peer_exchange.cpp
+++ b/libs/gateway/src/peer_exchange.cpp
@@ -4,6 +4,8 @@
 
 #include <core/log.hpp>
 
+#include <algorithm>
+
 namespace masticshift::gateway
 {
 
@@ -19,6 +21,8 @@
 /// listens on its address.
 constexpr int refusals_until_dead = 2;
 
+constexpr milliseconds longest_relayed_call{5'000};
+
 constexpr std::string_view entry_table = "entries";
 constexpr milliseconds store_timeout{500};
 constexpr milliseconds store_pause{500};
@@ -62,8 +66,11 @@
     if (result)
     {
         self.refused_connections_.erase(peer);
-        self.state_.roster.record_heartbeat(
-            from_wire(result->pulse_answer.beat), steady_clock::now());
+        auto const beat = decode_heartbeat(result->pulse_answer.beat);
+        if (beat)
+            self.state_.roster.record_heartbeat(*beat, steady_clock::now());
+        else
+            self.log_refused(beat.error());
         co_return;
     }
     self.state_.roster.record_unanswered(peer);
@@ -74,6 +81,15 @@
         self.state_.roster.record_connection_refused(peer);
 }
 
+void peer_exchange::log_refused(failure const& reason)
+{
+    // Heartbeats come ten times a second.
+    if (refused_messages_.insert(reason.detail).second)
+        log_event(log_level::warning, "peer_message_refused",
+                  {{"code", static_cast<int>(reason.code)},
+                   {"detail", reason.detail}});
+}
+
 std::string peer_exchange::row_key() const
 {
     return state_.roster.self().address;
@@ -89,8 +105,11 @@
         co_return false;
     for (auto const& row : rows->rows)
     {
-        if (config::parse_socket_address(row.key))
+        if (is_peer_address(row.key))
             state_.roster.add_candidate(row.key, row.value);
+        else
+            log_refused({result_code::platform_bad_answer,
+                         "an entry is registered without a valid address"});
     }
     state_.roster.record_directory_read();
     co_return true;
@@ -133,10 +152,15 @@
     {
     case pulse_call:
     {
-        auto const heartbeat = from_wire(call.pulse_call);
-        state_.roster.record_heartbeat(heartbeat, now);
+        auto const heartbeat = decode_heartbeat(call.pulse_call);
+        if (!heartbeat)
+        {
+            log_refused(heartbeat.error());
+            co_return refuse(heartbeat.error());
+        }
+        state_.roster.record_heartbeat(*heartbeat, now);
         wire::pulse_reply reply;
-        reply.beat = to_wire(state_.roster.response_to(heartbeat, now));
+        reply.beat = to_wire(state_.roster.response_to(*heartbeat, now));
         co_return peer_link::make_message(std::move(reply));
     }
     case dispatch_call:
@@ -173,16 +197,21 @@
 asio::awaitable<wire::message>
 peer_exchange::handle_dispatch_call(wire::dispatch_job call)
 {
-    auto const origin = from_wire(call.origin);
+    auto const origin = decode_entry(call.origin);
+    if (!origin)
+    {
+        log_refused(origin.error());
+        co_return refuse(origin.error());
+    }
     auto const cell = call.cell;
     auto job = from_wire(std::move(call));
     if (!job)
         co_return refuse(job.error());
-    if (!state_.roster.record_job_from(origin, steady_clock::now()))
+    if (!state_.roster.record_job_from(*origin, steady_clock::now()))
         co_return refuse({result_code::peer_protocol,
                           "the entry that sent the job has ended"});
     auto const result =
-        co_await cell_manager_.run_job(cell, std::move(*job), origin);
+        co_await cell_manager_.run_job(cell, std::move(*job), *origin);
     co_return peer_link::make_message(to_wire(result));
 }
 
@@ -191,8 +220,9 @@
 {
     transport::http_request request;
     request.target = std::move(call.target);
-    auto const result =
-        co_await store_.call(std::move(request), milliseconds(call.timeout_ms));
+    auto const timeout = std::clamp(milliseconds(call.timeout_ms),
+                                    milliseconds(0), longest_relayed_call);
+    auto const result = co_await store_.call(std::move(request), timeout);
     wire::relay_read_reply reply;
     reply.status = 0;
     if (result)
--- a/libs/gateway/src/peer_exchange.hpp
+++ b/libs/gateway/src/peer_exchange.hpp
@@ -39,6 +39,7 @@
     handle_dispatch_call(wire::dispatch_job call);
     asio::awaitable<wire::message> handle_relay_call(wire::relay_read call);
     asio::awaitable<bool> read_directory();
+    void log_refused(failure const& reason);
     std::string row_key() const;
 
     gateway_state& state_;
@@ -47,6 +48,8 @@
     store_client& store_;
     /// By peer: refused connections in a row.
     std::map<std::string, int> refused_connections_;
+    /// Reasons for which messages were refused, each of which is logged once.
+    std::set<std::string> refused_messages_;
 };
 
 } // namespace masticshift::gateway
--- a/libs/gateway/src/peer_wire.cpp
+++ b/libs/gateway/src/peer_wire.cpp
@@ -1,5 +1,7 @@
 #include "peer_wire.hpp"
 
+#include <config/daemon_settings.hpp>
+
 #include <algorithm>
 
 namespace masticshift::gateway
@@ -17,6 +19,32 @@
 /// Tokens are exact as JSON numbers, and the next higher one has to be too.
 constexpr std::int64_t largest_token = std::int64_t(1) << 52;
 
+/// Versions and incarnations are exact as JSON numbers.
+constexpr std::int64_t largest_exact = std::int64_t(1) << 53;
+
+constexpr std::int64_t largest_sum = 1'000'000'000'000;
+
+bool is_in_range(std::int64_t number, std::int64_t least, std::int64_t largest)
+{
+    return number >= least && number <= largest;
+}
+
+bool is_valid(wire::entry_record const& entry)
+{
+    return is_peer_address(entry.address) && entry.processor >= 0 &&
+           is_in_range(entry.incarnation, 1, largest_exact);
+}
+
+bool is_valid(wire::dispatch_claim const& claim)
+{
+    return is_in_range(claim.token, 0, largest_token);
+}
+
+failure refused(std::string detail)
+{
+    return {result_code::peer_protocol, std::move(detail)};
+}
+
 std::int64_t token_from_wire(std::int64_t token)
 {
     return std::clamp<std::int64_t>(token, 0, largest_token);
@@ -90,13 +118,22 @@
 
 dispatch::dispatch_claim from_wire(wire::dispatch_claim const& claim)
 {
-    return {
-        claim.cell,           token_from_wire(claim.token),     claim.endpoints,
-        claim.free_processor, time_from_wire(claim.backlog_ms), claim.retiring};
+    return {claim.cell,
+            token_from_wire(claim.token),
+            std::clamp<std::int64_t>(claim.endpoints, 0, largest_amount),
+            std::clamp<std::int64_t>(claim.free_processor, 0, largest_sum),
+            time_from_wire(claim.backlog_ms),
+            claim.retiring};
 }
 
 } // namespace
 
+bool is_peer_address(std::string const& address)
+{
+    auto const parsed = config::parse_socket_address(address);
+    return parsed && parsed->port != 0 && config::to_string(*parsed) == address;
+}
+
 wire::entry_record to_wire(dispatch::entry_identity const& entry)
 {
     wire::entry_record converted;
@@ -157,6 +194,42 @@
     return converted;
 }
 
+outcome<dispatch::entry_identity> decode_entry(wire::entry_record const& entry)
+{
+    if (!is_valid(entry))
+        return refused("an entry without a valid address, incarnation or "
+                       "processor");
+    return from_wire(entry);
+}
+
+outcome<dispatch::entry_heartbeat> decode_heartbeat(wire::pulse const& pulse)
+{
+    if (!is_valid(pulse.sender))
+        return refused("a heartbeat without a valid sender");
+    bool const in_range =
+        is_in_range(pulse.highest_token, 0, largest_token) &&
+        is_in_range(pulse.configuration_version, 0, largest_exact) &&
+        std::ranges::all_of(pulse.claims,
+                            [](auto const& claim)
+                            {
+                                return is_valid(claim);
+                            });
+    if (!in_range)
+        return refused("a heartbeat with a token or version out of range");
+    auto valid = pulse;
+    std::erase_if(valid.known,
+                  [](auto const& entry)
+                  {
+                      return !is_valid(entry);
+                  });
+    std::erase_if(valid.relayed,
+                  [](auto const& row)
+                  {
+                      return !is_valid(row.holder) || !is_valid(row.claim);
+                  });
+    return from_wire(valid);
+}
+
 wire::dispatch_job to_wire(dispatch::job_spec const& job,
                            dispatch::entry_identity const& origin)
 {
--- a/libs/gateway/src/peer_wire.hpp
+++ b/libs/gateway/src/peer_wire.hpp
@@ -12,12 +12,22 @@
 // Conversions between the messages of the peer protocol and the types of
 // libs/dispatch.
 
+/// Whether a text is an address and port that can be called, spelled as entries
+/// spell their own.
+bool is_peer_address(std::string const& address);
+
 wire::entry_record to_wire(dispatch::entry_identity const& entry);
 dispatch::entry_identity from_wire(wire::entry_record const& entry);
 
 wire::pulse to_wire(dispatch::entry_heartbeat const& heartbeat);
 dispatch::entry_heartbeat from_wire(wire::pulse const& pulse);
 
+/// Decode what another process says of an entry, or its heartbeat. Fail with
+/// `peer_protocol` if it names no address that can be called, or with a number
+/// out of range. Odd rows about other entries are left out of a heartbeat.
+outcome<dispatch::entry_identity> decode_entry(wire::entry_record const& entry);
+outcome<dispatch::entry_heartbeat> decode_heartbeat(wire::pulse const& pulse);
+
 wire::dispatch_job to_wire(dispatch::job_spec const& job,
                            dispatch::entry_identity const& origin);
 
--- a/libs/gateway/src/store_client.cpp
+++ b/libs/gateway/src/store_client.cpp
@@ -79,6 +79,23 @@
     co_return response;
 }
 
+outcome<platform::store_rows>
+store_client::decode(std::string const& target,
+                     transport::http_response const& response)
+{
+    auto rows = platform::decode_rows(response);
+    if (!rows)
+        return rows;
+    auto const table = transport::query_parameter(target, "table");
+    auto const skipped = rows->skipped;
+    if (std::exchange(skipped_[table], skipped) != skipped && skipped > 0)
+        log_event(log_level::warning, "store_rows_skipped",
+                  {{"table", table},
+                   {"code", static_cast<int>(result_code::platform_bad_answer)},
+                   {"skipped", skipped}});
+    return rows;
+}
+
 asio::awaitable<outcome<platform::store_rows>>
 store_client::read(transport::http_request request, milliseconds timeout,
                    bool& history_gone)
@@ -89,13 +106,13 @@
     if (direct && !is_refusal(*direct))
     {
         history_gone = platform::is_history_gone(*direct);
-        co_return platform::decode_rows(*direct);
+        co_return decode(target, *direct);
     }
     auto const relayed = co_await relay(target, timeout);
     if (!relayed)
         co_return relayed.error();
     history_gone = platform::is_history_gone(*relayed);
-    co_return platform::decode_rows(*relayed);
+    co_return decode(target, *relayed);
 }
 
 } // namespace masticshift::gateway
--- a/libs/gateway/src/store_client.hpp
+++ b/libs/gateway/src/store_client.hpp
@@ -41,12 +41,16 @@
 private:
     asio::awaitable<outcome<transport::http_response>>
     relay(std::string target, milliseconds timeout);
+    outcome<platform::store_rows>
+    decode(std::string const& target, transport::http_response const& response);
     void set_reachable(bool reachable, std::string const& detail);
 
     gateway_state& state_;
     transport::http_client& http_;
     peer_link::peer_client& peers_;
     bool reachable_ = true;
+    /// By table: unreadable rows of the last response.
+    std::map<std::string, std::size_t> skipped_;
 };
 
 } // namespace masticshift::gateway
