Odd entries and odd responses on a running deployment

The stand-in of the platform answers 421 to calls for another endpoint now, as the pages say, and can answer orders that it has carried out with 500, 502, 504, 202, 404 or 302, and list runs in rows that can't be read.

--- a/libs/test_support/include/test_support/gateway_standin.hpp
+++ b/libs/test_support/include/test_support/gateway_standin.hpp
@@ -41,6 +41,12 @@
     /// up to 4 s.
     int lost_orders = 0;
     int late_orders = 0;
+    /// Percentage of the start and stop orders that are carried out and get a
+    /// response of 500, 502 or 504, or of another status without a meaning.
+    int odd_statuses = 0;
+    /// Percentage of the lists that have all their runs in progress in rows
+    /// that can't be read.
+    int odd_lists = 0;
     /// Percentage of the runs that end as failed.
     int failed_runs = 0;
     /// Endpoints that do not respond to any call.
@@ -97,6 +103,12 @@
     /// endpoints, one after the other.
     void write_other_rows(int count);
 
+    /// Address and port of an endpoint.
+    std::string endpoint_address(std::string const& id) const;
+
+    /// Writes the row of an endpoint as another writer would, with any bytes.
+    void write_endpoint_row(std::string const& id, std::string value);
+
     /// Simulates a crash of the endpoint and a restart under its id, which
     /// loses all state.
     void restart_endpoint(std::string const& id);
--- a/libs/test_support/src/gateway_standin.cpp
+++ b/libs/test_support/src/gateway_standin.cpp
@@ -163,6 +163,17 @@
         impl_->store->write("servers", "other" + std::to_string(i), "{}");
 }
 
+std::string gateway_standin::endpoint_address(std::string const& id) const
+{
+    return impl_->endpoints.at(id)->address();
+}
+
+void gateway_standin::write_endpoint_row(std::string const& id,
+                                         std::string value)
+{
+    impl_->store->write("servers", id, std::move(value));
+}
+
 void gateway_standin::restart_endpoint(std::string const& id)
 {
     impl_->endpoints.at(id)->restart();
--- a/libs/test_support/src/standin_endpoint.cpp
+++ b/libs/test_support/src/standin_endpoint.cpp
@@ -1,5 +1,6 @@
 #include "standin_endpoint.hpp"
 
+#include <array>
 #include <chrono>
 
 namespace masticshift::test_support
@@ -10,6 +11,10 @@
 
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_conflict = 409;
+constexpr unsigned status_misdirected = 421;
+
+/// Statuses that do not say whether an order was carried out.
+constexpr std::array<unsigned, 6> odd_statuses{500, 502, 504, 202, 404, 302};
 
 constexpr int max_order_delay_ms = 4'000;
 
@@ -66,12 +71,17 @@
     return first_ms + std::chrono::duration_cast<milliseconds>(elapsed).count();
 }
 
+std::string standin_endpoint::address() const
+{
+    return "127.0.0.1:" + std::to_string(server_->port());
+}
+
 std::string standin_endpoint::next_row()
 {
     auto const& record = model_.record();
     json::object row;
     row["service"] = record.service;
-    row["address"] = "127.0.0.1:" + std::to_string(server_->port());
+    row["address"] = address();
     row["zone"] = record.data_centre;
     row["version"] = "v1";
     row["slots"] = record.slots;
@@ -115,10 +125,23 @@
     while (shared_state.faults->silent_endpoints.contains(
         self->model_.record().id))
         co_await wait_for(fault_poll_interval);
+    auto const expected = request.fields["X-Expect-Instance"];
+    if (!expected.empty() && expected != self->model_.record().id)
+        co_return make_response(status_misdirected, {});
     auto const body = json::parse(request.body).as_object();
     auto const path = std::string(transport::path_of(request.target));
     if (path == "/hold")
         co_return co_await list_runs(self, body);
+    // Draws nothing where the fault is off: seeded tests stay the same.
+    auto const odd = shared_state.faults->odd_statuses;
+    if (odd > 0 && shared_state.chance(odd))
+    {
+        self->carry_out(path, body);
+        co_return make_response(
+            odd_statuses.at(static_cast<std::size_t>(
+                shared_state.pick(static_cast<int>(odd_statuses.size()) - 1))),
+            {});
+    }
     if (!shared_state.chance(shared_state.faults->lost_orders))
         co_return self->carry_out(path, body);
     auto const late = shared_state.chance(shared_state.faults->late_orders);
@@ -209,10 +232,17 @@
 transport::http_response
 standin_endpoint::list_response(dispatch::run_list const& list) const
 {
+    auto const odd_lists = shared_state_->faults->odd_lists;
+    bool const odd = odd_lists > 0 && shared_state_->chance(odd_lists);
     json::array running;
     for (auto const& run : list.active)
-        running.push_back(
-            json::array{run.run.task, run.run.number, "", run.percent});
+    {
+        if (odd)
+            running.push_back(json::array{run.run.task, nullptr});
+        else
+            running.push_back(
+                json::array{run.run.task, run.run.number, "", run.percent});
+    }
     json::array ended;
     for (auto const& run : list.ended)
         ended.push_back(json::array{run.number, run.run.task, run.run.number,
--- a/libs/test_support/src/standin_endpoint.hpp
+++ b/libs/test_support/src/standin_endpoint.hpp
@@ -46,6 +46,9 @@
 
     outcome<void> listen();
 
+    /// Its address and port.
+    std::string address() const;
+
     /// Its row in the store, with a higher sequence number at each call.
     std::string next_row();
 
