--- a/libs/dispatch/include/dispatch/endpoint_calls.hpp
+++ b/libs/dispatch/include/dispatch/endpoint_calls.hpp
@@ -58,6 +58,9 @@
     /// How long the endpoint may wait for a run to end before it responds (long
     /// polling).
     milliseconds wait{0};
+    /// Number of the endpoint's address that it is sent to. Counts the changes
+    /// of the record.
+    int address_number = 0;
 };
 
 /// Outcome of an order to an endpoint.
@@ -125,6 +128,9 @@
     /// Start of the endpoint's incarnation; 0 if the endpoint does not report
     /// it.
     std::int64_t started_ms = 0;
+    /// All runs in progress are in `active`. Otherwise a run that is not in it
+    /// may be at work.
+    bool complete = true;
 };
 
 } // namespace masticshift::dispatch
--- a/libs/dispatch/src/endpoint_account.cpp
+++ b/libs/dispatch/src/endpoint_account.cpp
@@ -16,8 +16,8 @@
 /// list, so that one lost response is not enough.
 constexpr milliseconds unresponsive_after{500};
 
-/// Longest wait of a list while no run has to be stopped. A fifth of the
-/// longest lease, so that four renewals in a row may fail.
+/// Longest wait of a list while no run has to be stopped. Less than a third of
+/// the lease, so that two renewals in a row may fail.
 constexpr milliseconds max_list_wait{200};
 
 /// A list waits until shortly after the next end is expected. If its response
@@ -63,9 +63,16 @@
 
 void endpoint_account::update(endpoint_record record)
 {
+    if (record.ip != record_.ip || record.port != record_.port)
+        ++address_number_;
     record_ = std::move(record);
 }
 
+bool endpoint_account::was_listed_here() const
+{
+    return listed_address_ == address_number_;
+}
+
 bool endpoint_account::advance_token(std::int64_t token)
 {
     if (link_ == endpoint_link::active)
@@ -168,7 +175,8 @@
 
 std::optional<list_order> endpoint_account::next_list(time_point now)
 {
-    list_order order{token_, seen_end_, std::nullopt, milliseconds(0)};
+    list_order order{token_, seen_end_, std::nullopt, milliseconds(0),
+                     address_number_};
     switch (link_)
     {
     case endpoint_link::outranked:
@@ -285,11 +293,11 @@
 {
     list_changes changes;
     process_ended_ = false;
+    listed_address_ = order.address_number;
     changes.restarted = reset_if_restarted(list.started_ms, now);
     expired_.clear();
-    listed_ip_ = record_.ip;
-    listed_port_ = record_.port;
-    if (link_ != endpoint_link::outranked)
+    // Until a complete list, runs of other dispatchers may be unknown here.
+    if (link_ != endpoint_link::outranked && list.complete)
         link_ = endpoint_link::active;
     for (auto const& ended : list.ended)
     {
@@ -304,6 +312,8 @@
         apply_active(seen, sent, now, changes);
         active.insert(seen.run);
     }
+    if (!list.complete)
+        return changes;
     for (auto place = runs_.begin(); place != runs_.end();)
     {
         auto const next = std::next(place);
--- a/libs/dispatch/src/endpoint_account.hpp
+++ b/libs/dispatch/src/endpoint_account.hpp
@@ -151,6 +151,9 @@
 
     void update(endpoint_record record);
 
+    /// Whether the present address of the record has answered the last list.
+    bool was_listed_here() const;
+
     /// Switches to a higher token unless the endpoint is active with the
     /// present one. Returns whether it did; the endpoint then has to be listed
     /// again.
@@ -225,12 +228,6 @@
     {
         return refused_since_.has_value();
     }
-    /// Whether its record has the address at which it was last listed: another
-    /// process elsewhere says nothing about it.
-    bool is_at_listed_address() const
-    {
-        return record_.ip == listed_ip_ && record_.port == listed_port_;
-    }
     /// The process of the endpoint has ended. No work is placed until the
     /// endpoint has been listed again.
     void record_process_ended(process_end proof, time_point now);
@@ -288,10 +285,12 @@
     dispatch_limits limits_;
     endpoint_link link_ = endpoint_link::unread;
     lease_clock clock_;
-    std::string listed_ip_;
-    std::uint16_t listed_port_ = 0;
     /// Start time of the process that answered the last list; 0 if unknown.
     std::int64_t process_started_ms_ = 0;
+    /// Counts the changes of the record's address, and which one of them
+    /// answered the last list.
+    int address_number_ = 0;
+    std::optional<int> listed_address_;
     std::map<run_key, placed_run> runs_;
     /// Runs whose leases have ended since the last list.
     std::vector<finished_run> expired_;
