Leases of 700 ms: a run whose entry has died ends before its caller comes back

What callers would see: a task that runs twice at the same time (TWICE). An entry is killed, and its caller submits the job again 1,300 ms later. The dispatcher renews the run for up to 550 ms more; if its stop does not arrive, the lease of 1,000 ms on a clock that is 2 % slow ended after up to 1,570 ms.

Renewals for 550 ms and 700 ms / 0.98 end by 1,264 ms.

Lists still wait for 200 ms at most, so that two renewals in a row may fail. Leases of crashed endpoints end sooner too.

lost_caller_test "a run whose entry has died ends before its caller resends the job, though no stop arrives" failed before, with 1,000 ms.

--- a/libs/dispatch/tests/dispatcher_fixture.hpp
+++ b/libs/dispatch/tests/dispatcher_fixture.hpp
@@ -18,7 +18,8 @@
 /// A dispatcher with endpoints, and a clock that the test advances.
 struct dispatcher_fixture
 {
-    explicit dispatcher_fixture(int endpoints)
+    explicit dispatcher_fixture(int endpoints, dispatch_limits limits = {})
+        : tested(limits, token)
     {
         for (int i = 0; i < endpoints; ++i)
         {
@@ -93,7 +94,7 @@
     }
 
     time_point now = time_point{} + std::chrono::seconds(100);
-    dispatcher tested{dispatch_limits{}, token};
+    dispatcher tested;
     std::map<std::string, endpoint_model> models;
 };
 
--- /dev/null
+++ b/libs/dispatch/tests/lost_caller_test.cpp
@@ -0,0 +1,48 @@
+// Runs whose callers have been told that nobody knows their result.
+
+#include "dispatcher_fixture.hpp"
+
+using namespace masticshift;
+using namespace masticshift::dispatch;
+using namespace masticshift::dispatch::testing;
+
+namespace
+{
+
+constexpr milliseconds resend_delay{1'300};
+constexpr milliseconds long_run{10'000};
+
+start_order start_long_run(dispatcher_fixture& f)
+{
+    auto spec = make_spec("a", 1);
+    spec.steps[0].estimate = long_run;
+    spec.caller_timeout = milliseconds(60'000);
+    f.tested.submit(spec, "home", f.now);
+    auto const starts = f.tested.take_starts();
+    REQUIRE(starts.size() == 1);
+    f.tested.start_answered(
+        starts[0],
+        f.models.at("e0").start(starts[0], f.clock(), long_run, false),
+        f.clock(), f.now);
+    return starts[0];
+}
+
+} // namespace
+
+// The caller resends to a cell that knows nothing of the run.
+TEST_CASE("a run whose entry has died ends before its caller resends the job, "
+          "though no stop arrives")
+{
+    dispatcher_fixture f(1, {lease_within(milliseconds(1'000)), 1});
+    start_long_run(f);
+    auto const died = f.now;
+    for (int i = 0; i < 50; ++i)
+    {
+        f.advance(milliseconds(10));
+        f.read_all();
+    }
+    f.tested.cancel_jobs_of_origin("home", f.now);
+    f.tested.take_stops();
+    f.now = died + resend_delay;
+    CHECK(f.models.at("e0").running_tasks(f.clock()).empty());
+}
--- a/libs/gateway/src/cell_runner.cpp
+++ b/libs/gateway/src/cell_runner.cpp
@@ -49,7 +49,7 @@
 
 dispatch::dispatch_limits limits_of(config::gateway_bounds const& bounds)
 {
-    return {bounds.longest_lease, bounds.remote_factor};
+    return {dispatch::lease_within(bounds.longest_lease), bounds.remote_factor};
 }
 
 } // namespace
