Say in the log when a token is kept; lint

endpoint_fenced said token_raised also where the token may not be raised, after a pause or beside another dispatcher. A loop that lists an endpoint ends quietly when the endpoint was removed before it began. One name in a test follows the linter.

--- a/libs/dispatch/src/dispatcher.cpp
+++ b/libs/dispatch/src/dispatcher.cpp
@@ -108,6 +108,7 @@
 
 void dispatcher::impl::raise_token(endpoint_account& account)
 {
+    auto const former = token_;
     token_ = std::max(token_, next_token_(token_));
     account.raise_token(token_);
     endpoints_to_poll_.insert(account.record().id);
@@ -115,7 +116,7 @@
                           {},
                           {},
                           account.record().id,
-                          "token_raised",
+                          token_ > former ? "token_raised" : "token_kept",
                           static_cast<double>(account.runs().size())});
 }
 
--- a/libs/dispatch/tests/crashing_task_test.cpp
+++ b/libs/dispatch/tests/crashing_task_test.cpp
@@ -175,7 +175,7 @@
 {
     auto const starts = f.tested.take_starts();
     REQUIRE(starts.size() == 1);
-    auto const id = starts[0].endpoint;
+    auto id = starts[0].endpoint;
     f.tested.start_answered(
         starts[0], f.models.at(id).start(starts[0], f.clock(), run_time, false),
         f.clock(), f.now);
--- a/libs/gateway/src/endpoint_io.cpp
+++ b/libs/gateway/src/endpoint_io.cpp
@@ -41,7 +41,10 @@
                                                   std::string endpoint)
 {
     unsigned failures = 0;
-    auto const wake = self->watch_timers_.at(endpoint);
+    auto const watched = self->watch_timers_.find(endpoint);
+    if (watched == self->watch_timers_.end())
+        co_return;
+    auto const wake = watched->second;
     while (!self->stopped_)
     {
         // Another loop watches an endpoint that was removed and added again.
