--- a/tools/masticshift-load/src/load_run.cpp
+++ b/tools/masticshift-load/src/load_run.cpp
@@ -138,7 +138,7 @@
 {
     if (when <= steady_clock::now())
         co_return;
-    asio::steady_timer timer(executor_, when);
+    asio::steady_timer timer(executor_, when - steady_clock::now());
     co_await timer.async_wait(asio::use_awaitable);
 }
 
