Review case 1: a frozen entry dispatches requests whose callers have gone

Tried with three entries in one zone and two in another, one of them stopped for 4 s while eight jobs arrive there.

--- /dev/null
+++ b/review/run_script.sh
@@ -0,0 +1,32 @@
+#!/usr/bin/env bash
+# Runs the program of a case: run_script.sh FOLDER PROGRAM [ARGUMENT...]. Exits with 0 if the
+# rule held, with 1 if it was broken and with 2 if the case couldn't run.
+set -uo pipefail
+folder="$(cd "$1" && pwd)"
+program="$2"
+shift 2
+cd "$(dirname "$0")/.."
+
+work="$(mktemp -d)"
+finish() {
+    if [ -f "$work/pids" ]; then
+        while read -r pid; do
+            kill -KILL "$pid" 2>/dev/null
+        done <"$work/pids"
+    fi
+    rm -rf "$work"
+}
+trap finish EXIT
+trap 'exit 2' INT TERM
+
+timeout 115 "out/review/$program" "$work" target/bin/masticshiftd "$@"
+result=$?
+[ -f "$work/record.txt" ] && cp "$work/record.txt" "$folder/record.txt"
+if [ -n "${KEEP_LOGS:-}" ]; then
+    mkdir -p "$KEEP_LOGS"
+    cp "$work"/*.log "$work"/*.toml "$KEEP_LOGS"
+fi
+if [ "$result" -ne 0 ] && [ "$result" -ne 1 ]; then
+    exit 2
+fi
+exit "$result"
