--- a/review/standin/changed_kind.cpp
+++ b/review/standin/changed_kind.cpp
@@ -11,7 +11,7 @@
 using namespace review;
 
 constexpr std::size_t workers = 8;
-constexpr std::size_t crashes = 4;
+constexpr int crashes = 4;
 constexpr int down_ms = 1'000;
 constexpr int pause_ms = 3'000;
 constexpr int job_interval_ms = 25;
@@ -41,7 +41,7 @@
     }
     auto const entries = system.entries_of("ikeja");
     auto const begin = events.now();
-    std::size_t crashed = 0;
+    int crashed = 0;
     int number = 0;
     while (events.now() < begin + (crashes + 1) * pause_ms)
     {
@@ -54,7 +54,8 @@
         if (crashed < crashes && events.now() > begin + crashed * pause_ms)
         {
             if (!is_calm())
-                system.crash_worker(crashed, down_ms, "b");
+                system.crash_worker(static_cast<std::size_t>(crashed), down_ms,
+                                    "b");
             ++crashed;
         }
     }
--- a/review/standin/deployment.cpp
+++ b/review/standin/deployment.cpp
@@ -14,6 +14,7 @@
 #include <filesystem>
 #include <fstream>
 #include <sstream>
+#include <stdexcept>
 
 extern char** environ;
 
@@ -42,7 +43,9 @@
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    ::bind(socket, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+    if (::bind(socket, reinterpret_cast<sockaddr*>(&address),
+               sizeof(address)) != 0)
+        throw std::runtime_error("no free port");
     socklen_t size = sizeof(address);
     ::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size);
     sockets.push_back(socket);
--- a/review/standin/http.cpp
+++ b/review/standin/http.cpp
@@ -208,7 +208,7 @@
         ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
         auto text = method + " " + target + " HTTP/1.1\r\n";
         for (auto const& [name, value] : headers)
-            text += name + ": " + value + "\r\n";
+            text.append(name).append(": ").append(value).append("\r\n");
         text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
         text += body;
         auto const sent =
--- a/review/standin/proxy.cpp
+++ b/review/standin/proxy.cpp
@@ -8,6 +8,7 @@
 
 #include <chrono>
 #include <mutex>
+#include <stdexcept>
 #include <thread>
 
 namespace review
@@ -117,8 +118,10 @@
     state_->target = target;
     auto const listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     auto address = loopback(0);
-    ::bind(listener, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-    ::listen(listener, 128);
+    if (::bind(listener, reinterpret_cast<sockaddr*>(&address),
+               sizeof(address)) != 0 ||
+        ::listen(listener, 128) != 0)
+        throw std::runtime_error("no port for a proxy");
     socklen_t size = sizeof(address);
     ::getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size);
     port_ = ntohs(address.sin_port);
@@ -154,7 +157,7 @@
     }
 }
 
-void proxy::relay(std::shared_ptr<state> shared, int accepted)
+void proxy::relay(std::shared_ptr<state> const& shared, int accepted)
 {
     sockaddr_in address{};
     socklen_t size = sizeof(address);
--- a/review/standin/proxy.hpp
+++ b/review/standin/proxy.hpp
@@ -32,7 +32,7 @@
     struct state;
 
     static void accept_all(int listener, std::shared_ptr<state> shared);
-    static void relay(std::shared_ptr<state> shared, int accepted);
+    static void relay(std::shared_ptr<state> const& shared, int accepted);
     static void pump(state& shared, std::string const& caller, int from,
                      int to);
 
