--- a/review/standin/changed_kind.cpp
+++ b/review/standin/changed_kind.cpp
@@ -24,7 +24,7 @@
     return id;
 }
 
-int run(std::string const& folder, std::string const& program)
+int run(std::string const& folder, std::string const& program, bool disrupted)
 {
     // The threads of the stand-ins use both until the process ends.
     auto& events = *new record(folder + "/record.txt");
@@ -53,7 +53,7 @@
         ++number;
         if (crashed < crashes && events.now() > begin + crashed * pause_ms)
         {
-            if (!is_calm())
+            if (disrupted)
                 system.crash_worker(static_cast<std::size_t>(crashed), down_ms,
                                     "b");
             ++crashed;
@@ -78,9 +78,10 @@
 
 int main(int count, char** arguments)
 {
-    if (count != 3)
+    if (count < 4)
         return 2;
-    auto const result = run(arguments[1], arguments[2]);
+    bool const disrupted = std::string(arguments[3]) == "on";
+    auto const result = run(arguments[1], arguments[2], disrupted);
     std::fflush(nullptr);
     std::_Exit(result);
 }
--- a/review/standin/deployment.cpp
+++ b/review/standin/deployment.cpp
@@ -80,12 +80,6 @@
     std::this_thread::sleep_for(std::chrono::milliseconds(length));
 }
 
-bool is_calm()
-{
-    auto const* const trouble = std::getenv("TROUBLE");
-    return trouble != nullptr && std::string(trouble) == "0";
-}
-
 entry::entry(std::string name, std::string zone, std::string folder,
              std::string program)
     : name_(std::move(name)),
--- a/review/standin/deployment.hpp
+++ b/review/standin/deployment.hpp
@@ -128,9 +128,6 @@
 
 void sleep_ms(int length);
 
-/// Whether the disruption is to be left out (`TROUBLE=0`).
-bool is_calm();
-
 } // namespace review
 
 #endif
