A start that has not been sent when its job ends is not sent

Trace: a dispatcher is suspended with a start order in its queue. When it resumes it cancels the jobs of the entries that were silent meanwhile, and then sends the order all the same. The end of its lease would have it rejected, but the endpoint has restarted under its id: its clock started anew, so that the lease is valid there. The task runs beside its next submission until the stop arrives.

Change: a stop drops the order of its run that is still queued. The gateway sends no start either when it resumes from a pause between the decision and the call; that part has no test.

Test: "a start that has not been sent when its job ends is not sent", failed before. The window is small in the real process, where orders are sent at once; its part in the users' reports is not shown.

--- a/libs/dispatch/src/dispatcher_placement.cpp
+++ b/libs/dispatch/src/dispatcher_placement.cpp
@@ -173,6 +173,12 @@
     auto& run = found->second;
     run.unwanted = true;
     run.stop_sent = now;
+    std::erase_if(starts_,
+                  [&](start_order const& order)
+                  {
+                      return order.run == key &&
+                             order.endpoint == account.record().id;
+                  });
     if (account.link() == endpoint_link::outranked)
         return;
     stops_.push_back({account.record().id, key, account.token()});
--- a/libs/dispatch/tests/lost_caller_test.cpp
+++ b/libs/dispatch/tests/lost_caller_test.cpp
@@ -46,3 +46,16 @@
     f.now = died + resend_delay;
     CHECK(f.models.at("e0").running_tasks(f.clock()).empty());
 }
+
+// A dispatcher that was suspended with an order in its queue sent it although
+// the job had been cancelled; the next process of the endpoint carried it out.
+TEST_CASE("a start that has not been sent when its job ends is not sent")
+{
+    dispatcher_fixture f(1);
+    f.tested.submit(make_spec("a", 1), "home", f.now);
+    f.tested.cancel_jobs_of_origin("home", f.now);
+    CHECK(f.tested.take_starts().empty());
+    f.deliver_orders();
+    f.read_all();
+    CHECK(f.tested.runs() == 0);
+}
--- a/libs/gateway/src/endpoint_io.cpp
+++ b/libs/gateway/src/endpoint_io.cpp
@@ -156,13 +156,22 @@
                                               dispatch::start_order order)
 {
     platform::endpoint_response response;
-    auto const result = co_await self->call_endpoint(
-        order.endpoint, platform::encode_start(order, order.endpoint),
-        milliseconds(0));
-    if (result)
-        response = platform::decode_endpoint_response(*result);
+    // After a pause the order may be for a former process of the endpoint, and
+    // its job unwanted.
+    if (self->is_resuming(steady_clock::now()))
+    {
+        response.outcome = dispatch::order_response::not_sent;
+    }
     else
-        response.outcome = response_of(result.error());
+    {
+        auto const result = co_await self->call_endpoint(
+            order.endpoint, platform::encode_start(order, order.endpoint),
+            milliseconds(0));
+        if (result)
+            response = platform::decode_endpoint_response(*result);
+        else
+            response.outcome = response_of(result.error());
+    }
     if (self->stopped_)
         co_return;
     self->catch_up_after_pause(steady_clock::now());
