A withdrawn or long delayed submission starts nothing

Cause: after 450 ms of silence an entry closes a connection, and withdraws its job over a new one. The held-up submission arrives after the withdrawal, of which the dispatcher kept nothing.

Change: entries number their submissions; a dispatcher's process remembers withdrawals by entry, job and number, and refuses what they cover. A submission carries the newest reading of the dispatcher's own clock that its entry has, and is taken only while that is less than 450 ms old (200 ms from an entry whose heartbeats do not arrive yet). The bound makes the memory finite and covers withdrawals that never arrive. The refusal says "not run", which is true, and carries a new reading: the entry sends the job again at once. A job counts as a sign of life as of its reading, not of its arrival. A held-up withdrawal no longer ends the next submission of its job.

Tests: submission_guard_test, unwanted_submission_test (four cases) and "submissions that are held up cause no two concurrent runs of a task".

Six stories: a silent machine and a paused process are the two ways in which a submission gets old; a hand-over: the memory is the process's, not the cell's; a lost answer: covered by the age; a restart: readings name the incarnation; a bad message: readings out of range count as too old. Entries of the build before send neither number nor reading, and are served as before.

--- a/libs/dispatch/include/dispatch/job.hpp
+++ b/libs/dispatch/include/dispatch/job.hpp
@@ -56,6 +56,8 @@
     bool only_if_idle = false;
     /// How long ago the entry received the job. The objective counts from then.
     milliseconds age{0};
+    /// The entry numbers its submissions in ascending order.
+    std::int64_t submission = 0;
 };
 
 /// How a job ended.
@@ -94,7 +96,9 @@
     /// The cell could not start it at once; another cell is tried.
     busy_cell,
     /// Too many endpoints have crashed while they ran one of its tasks.
-    endpoints_crashed
+    endpoints_crashed,
+    /// It was on its way for so long that its entry may have given it up.
+    outdated
 };
 
 char const* name_of(end_reason reason);
--- a/libs/dispatch/include/dispatch/peer_liveness.hpp
+++ b/libs/dispatch/include/dispatch/peer_liveness.hpp
@@ -54,9 +54,11 @@
     /// Returns whether it was taken.
     bool record_heartbeat(entry_heartbeat const& heartbeat, time_point now);
 
-    /// Records a message other than a heartbeat. Its sender sends heartbeats
-    /// from then on. Returns false for an incarnation that has ended.
-    bool record_message(entry_identity const& sender, time_point now);
+    /// Records a message other than a heartbeat, which may have been on its way
+    /// since `sent_after`. Its sender sends heartbeats from then on. Returns
+    /// false for an incarnation that has ended.
+    bool record_message(entry_identity const& sender, time_point sent_after,
+                        time_point now);
 
     void record_connection_refused(std::string const& address);
 
--- a/libs/dispatch/include/dispatch/peer_roster.hpp
+++ b/libs/dispatch/include/dispatch/peer_roster.hpp
@@ -40,9 +40,18 @@
 
     void record_heartbeat(entry_heartbeat const& heartbeat, time_point now);
 
-    /// Records a job that a peer has sent. Returns false if that incarnation of
-    /// the peer has ended, so that nobody waits for the job.
-    bool record_job_from(entry_identity const& origin, time_point now);
+    /// Records a job that a peer has sent, not before `sent_after`. Returns
+    /// false if that incarnation of the peer has ended, so that nobody waits
+    /// for the job.
+    bool record_job_from(entry_identity const& origin, time_point sent_after,
+                         time_point now);
+
+    /// Records a reading of the clock of the entry at this address, which the
+    /// entry has sent.
+    void record_clock(std::string const& address, clock_reading const& reading);
+
+    /// The newest reading of that entry's clock. Incarnation 0: none.
+    clock_reading last_reading(std::string const& address) const;
 
     /// Records that nothing listens at this address: a peer there is dead.
     void record_connection_refused(std::string const& address);
@@ -247,6 +256,8 @@
     mutable std::optional<std::set<std::string>> discovery_targets_;
     /// Receivers of a heartbeat in every interval.
     std::set<std::string> periodic_;
+    /// By address.
+    std::map<std::string, clock_reading> readings_;
     /// By address of the dispatcher.
     std::map<std::string, dependency> dependencies_;
     std::map<std::string, cell_state> cells_;
--- a/libs/dispatch/include/dispatch/peer_types.hpp
+++ b/libs/dispatch/include/dispatch/peer_types.hpp
@@ -3,6 +3,7 @@
 
 #include <core/time.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -25,6 +26,20 @@
                            entry_identity const&) = default;
 };
 
+/// The steady clock of an entry, as read by itself. Entries compare only
+/// readings of their own clocks.
+struct clock_reading
+{
+    std::int64_t incarnation = 0;
+    milliseconds time{0};
+};
+
+/// The whole milliseconds of a time, as in the readings of this entry's clock.
+constexpr milliseconds reading_at(time_point now)
+{
+    return std::chrono::floor<milliseconds>(now.time_since_epoch());
+}
+
 /// An entry's statement that it dispatches a cell.
 struct dispatch_claim
 {
@@ -71,6 +86,8 @@
     /// The response should contain the claims of other entries.
     bool wants_claims = false;
     std::vector<relayed_claim> relayed;
+    /// The sender's steady clock when it made the heartbeat.
+    milliseconds clock{0};
 };
 
 } // namespace masticshift::dispatch
--- a/libs/dispatch/src/job.cpp
+++ b/libs/dispatch/src/job.cpp
@@ -11,9 +11,9 @@
 constexpr std::array end_names{"completed", "failed", "refused", "unknown"};
 
 constexpr std::array reason_names{
-    "none",        "attempts_exhausted", "never_fits",       "overloaded",
-    "withdrawn",   "superseded",         "not_dispatcher",   "endpoint_lost",
-    "out_of_time", "busy_cell",          "endpoints_crashed"};
+    "none",        "attempts_exhausted", "never_fits",        "overloaded",
+    "withdrawn",   "superseded",         "not_dispatcher",    "endpoint_lost",
+    "out_of_time", "busy_cell",          "endpoints_crashed", "outdated"};
 
 } // namespace
 
--- a/libs/dispatch/src/peer_liveness.cpp
+++ b/libs/dispatch/src/peer_liveness.cpp
@@ -51,7 +51,8 @@
     return true;
 }
 
-bool peer_liveness::record_message(entry_identity const& sender, time_point now)
+bool peer_liveness::record_message(entry_identity const& sender,
+                                   time_point sent_after, time_point now)
 {
     auto const found = peers_.find(sender.address);
     if (found == peers_.end() ||
@@ -60,7 +61,7 @@
         entry_heartbeat heartbeat;
         heartbeat.sender = sender;
         heartbeat.is_periodic = true;
-        return record_heartbeat(heartbeat, now);
+        return record_heartbeat(heartbeat, sent_after);
     }
     auto& known = found->second;
     if (known.heartbeat.sender.incarnation > sender.incarnation)
@@ -68,7 +69,7 @@
     if (!is_alive(known, now))
         known.alive_since = now;
     known.heartbeat.is_periodic = true;
-    known.last_received = now;
+    known.last_received = std::max(known.last_received, sent_after);
     known.refused = false;
     known.end_reported = false;
     return true;
--- a/libs/dispatch/src/peer_roster.cpp
+++ b/libs/dispatch/src/peer_roster.cpp
@@ -55,6 +55,7 @@
     highest_token_ = std::max(highest_token_, heartbeat.highest_token);
     if (!liveness_.record_heartbeat(heartbeat, now))
         return;
+    record_clock(address, {heartbeat.sender.incarnation, heartbeat.clock});
     relay_.record(heartbeat.relayed, now);
     tried_.insert(address);
     for (auto const& claim : heartbeat.claims)
@@ -63,12 +64,28 @@
         highest_token_ = std::max(highest_token_, each.claim.token);
 }
 
-bool peer_roster::record_job_from(entry_identity const& origin, time_point now)
+bool peer_roster::record_job_from(entry_identity const& origin,
+                                  time_point sent_after, time_point now)
 {
     if (origin.address == self_.address)
         return origin.incarnation == self_.incarnation;
     add_candidate(origin.address, origin.data_centre);
-    return liveness_.record_message(origin, now);
+    return liveness_.record_message(origin, sent_after, now);
+}
+
+void peer_roster::record_clock(std::string const& address,
+                               clock_reading const& reading)
+{
+    auto& known = readings_[address];
+    if (known.incarnation < reading.incarnation ||
+        (known.incarnation == reading.incarnation && known.time < reading.time))
+        known = reading;
+}
+
+clock_reading peer_roster::last_reading(std::string const& address) const
+{
+    auto const found = readings_.find(address);
+    return found == readings_.end() ? clock_reading{} : found->second;
 }
 
 void peer_roster::record_connection_refused(std::string const& address)
@@ -269,6 +286,7 @@
     entry_heartbeat heartbeat;
     heartbeat.sender = self_;
     heartbeat.leaving = leaving_;
+    heartbeat.clock = reading_at(now);
     heartbeat.claims = claims_;
     heartbeat.configuration_version = configuration_version_;
     heartbeat.highest_token = highest_token_;
--- a/libs/dispatch/tests/interleaving_model.hpp
+++ b/libs/dispatch/tests/interleaving_model.hpp
@@ -1,6 +1,7 @@
 #ifndef MASTICSHIFT_DISPATCH_TESTS_INTERLEAVING_MODEL_HPP
 #define MASTICSHIFT_DISPATCH_TESTS_INTERLEAVING_MODEL_HPP
 
+#include <dispatch/submission_guard.hpp>
 #include <dispatch/token.hpp>
 #include <test_support/endpoint_model.hpp>
 
@@ -44,6 +45,9 @@
     /// Whether held-up orders also reach a process that has not yet accepted a
     /// list with a token raised after its start.
     bool delivers_unfenced = false;
+    /// Submissions that are held up on an older connection than their
+    /// withdrawal.
+    int held_submissions = 0;
     /// Longest lease that dispatchers ask for.
     milliseconds longest_lease{1'000};
 };
@@ -68,6 +72,11 @@
         /// list with a token raised after its start.
         std::size_t unfenced_starts = 0;
         std::size_t unfenced_lists = 0;
+        /// Submissions that arrived after their entry had given them up, and
+        /// how many of these were refused as withdrawn or outdated.
+        std::size_t given_up = 0;
+        std::size_t withdrawn = 0;
+        std::size_t outdated = 0;
     };
 
     interleaving_model(unsigned seed, fault_rates rates)
@@ -96,6 +105,7 @@
             maybe_fail_link();
             maybe_kill_entry();
             deliver_late_orders();
+            deliver_submissions();
             for (auto& cell : cells_)
                 drive_cell(cell);
             check();
@@ -135,6 +145,13 @@
     /// much later that may be found.
     static constexpr milliseconds dead_after{450};
     static constexpr milliseconds longest_check{100};
+    /// An entry gives up a job without a response within this time, and its
+    /// withdrawal arrives within the next one.
+    static constexpr milliseconds longest_wait{450};
+    static constexpr milliseconds longest_withdrawal{400};
+    static constexpr milliseconds longest_hold{2'500};
+    /// Age of the newest clock reading that an entry has.
+    static constexpr milliseconds longest_reading_age{150};
     /// Held-up orders are carried out within this time.
     static constexpr int longest_delay_ms = 12'000;
     static constexpr int shortest_list_delay_ms = 2'000;
@@ -191,6 +208,7 @@
         time_point token_advanced{};
         std::int64_t token_step = 1;
         std::array<link, endpoint_count> links;
+        submission_guard submissions;
         /// When it takes these entries for dead.
         std::map<std::string, time_point> cancels;
     };
@@ -210,6 +228,22 @@
     {
         int driver = 0;
         std::string origin;
+        std::int64_t submission = 0;
+    };
+
+    /// A submission on its way, and what follows if its entry gives it up.
+    struct held_submission
+    {
+        int driver = 0;
+        std::string origin;
+        job_spec spec;
+        clock_reading last_reading;
+        time_point arrives;
+        time_point given_up;
+        time_point withdrawn;
+        bool has_arrived = false;
+        bool is_given_up = false;
+        bool is_withdrawn = false;
     };
 
     struct late_order
@@ -334,16 +368,137 @@
         if (!cell.present)
             return false;
         auto const origin = entry_name(pick(0, entry_count - 1));
-        open_jobs_[id] = {cell.present->number, origin};
         auto spec = make_spec(id, 3);
         spec.steps[0].estimate = run_length(id);
         spec.slack_factor = 20;
+        spec.submission = ++submissions_;
+        open_jobs_[id] = {cell.present->number, origin, spec.submission};
+        if (chance(rates_.held_submissions))
+        {
+            hold(*cell.present, origin, std::move(spec));
+            return true;
+        }
         record({}, id + " submitted to " + name_of_driver(*cell.present));
         cell.present->tested->submit(std::move(spec), origin,
                                      time_of(*cell.present));
         return true;
     }
 
+    void hold(driver const& to, std::string const& origin, job_spec spec)
+    {
+        held_submission held;
+        held.driver = to.number;
+        held.origin = origin;
+        held.last_reading = {
+            to.number, reading_at(time_of(to)) -
+                           pick_time(milliseconds(0), longest_reading_age)};
+        held.arrives = now_ + pick_time(milliseconds(0), longest_hold);
+        held.given_up = now_ + pick_time(milliseconds(0), longest_wait);
+        held.withdrawn =
+            held.given_up + pick_time(milliseconds(0), longest_withdrawal);
+        record({}, spec.id + " held up on its way to " + name_of_driver(to));
+        held.spec = std::move(spec);
+        held_submissions_.push_back(std::move(held));
+    }
+
+    driver* find_driver(int number)
+    {
+        for (auto& cell : cells_)
+        {
+            if (cell.present && cell.present->number == number)
+                return cell.present.get();
+            if (cell.former && cell.former->number == number &&
+                now_ >= cell.former->resumes)
+                return cell.former.get();
+        }
+        return nullptr;
+    }
+
+    void deliver_submissions()
+    {
+        for (auto& each : held_submissions_)
+        {
+            if (!each.is_given_up && now_ >= each.given_up)
+                give_up(each);
+            if (!each.is_withdrawn && now_ >= each.withdrawn)
+                deliver_withdrawal(each);
+            if (!each.has_arrived && now_ >= each.arrives)
+                deliver_submission(each);
+        }
+        std::erase_if(held_submissions_,
+                      [](held_submission const& each)
+                      {
+                          return each.has_arrived && each.is_withdrawn;
+                      });
+    }
+
+    void give_up(held_submission& held)
+    {
+        held.is_given_up = true;
+        auto const known = open_jobs_.find(held.spec.id);
+        if (known == open_jobs_.end() ||
+            known->second.submission != held.spec.submission)
+            return;
+        record({}, held.spec.id + " given up");
+        open_jobs_.erase(known);
+        resend_at_[held.spec.id] = now_ + resend_delay;
+    }
+
+    void deliver_withdrawal(held_submission& held)
+    {
+        held.is_withdrawn = true;
+        auto* const to = find_driver(held.driver);
+        if (to == nullptr)
+            return;
+        to->submissions.record_withdrawal(held.origin, held.spec.id,
+                                          held.spec.submission, time_of(*to));
+        auto const known = open_jobs_.find(held.spec.id);
+        bool const submitted_again = known != open_jobs_.end() &&
+                                     known->second.driver == to->number &&
+                                     known->second.origin == held.origin;
+        if (!submitted_again)
+            to->tested->withdraw(held.spec.id, held.origin, time_of(*to));
+    }
+
+    void deliver_submission(held_submission& held)
+    {
+        held.has_arrived = true;
+        auto* const to = find_driver(held.driver);
+        if (to == nullptr)
+            return;
+        auto const& id = held.spec.id;
+        auto const now = time_of(*to);
+        counts_.given_up += held.is_given_up ? 1 : 0;
+        entry_identity const self{{}, held.driver, {}, 0};
+        if (submission_guard::is_outdated(held.last_reading, self, true, now))
+        {
+            ++counts_.outdated;
+            refuse(held);
+        }
+        else if (to->submissions.is_withdrawn(held.origin, id,
+                                              held.spec.submission, now))
+        {
+            ++counts_.withdrawn;
+            refuse(held);
+        }
+        else
+        {
+            record({}, id + " arrives at " + name_of_driver(*to));
+            to->tested->submit(held.spec, held.origin, now);
+        }
+    }
+
+    /// An entry that still waits submits the job again soon.
+    void refuse(held_submission const& held)
+    {
+        auto const known = open_jobs_.find(held.spec.id);
+        if (known == open_jobs_.end() ||
+            known->second.submission != held.spec.submission)
+            return;
+        open_jobs_.erase(known);
+        resend_at_[held.spec.id] = now_;
+    }
+
     std::string entry_name(int number) const
     {
         return "n" + std::to_string(number) + "-" +
@@ -831,6 +986,8 @@
     std::map<std::string, open_job> open_jobs_;
     std::map<std::string, time_point> resend_at_;
     std::vector<late_order> late_orders_;
+    std::vector<held_submission> held_submissions_;
+    std::int64_t submissions_ = 0;
     int next_job_ = 0;
     counts counts_;
     std::string twice_;
--- a/libs/dispatch/tests/interleaving_test.cpp
+++ b/libs/dispatch/tests/interleaving_test.cpp
@@ -34,6 +34,9 @@
     totals.late_outranked += played.late_outranked;
     totals.unfenced_starts += played.unfenced_starts;
     totals.unfenced_lists += played.unfenced_lists;
+    totals.given_up += played.given_up;
+    totals.withdrawn += played.withdrawn;
+    totals.outdated += played.outdated;
     if (tested.ran_twice())
         RC_FAIL(tested.history());
     RC_ASSERT(played.starts > 0U);
@@ -89,6 +92,28 @@
     report(totals);
 }
 
+// A submission that is held up arrives after its entry has given it up, and
+// often after its withdrawal, which came over a newer connection.
+TEST_CASE("submissions that are held up cause no two concurrent runs of a task")
+{
+    interleaving_model::counts totals;
+    auto const passed = rc::check("one run of a task at a time",
+                                  [&](unsigned seed)
+                                  {
+                                      auto rates = any_rates();
+                                      rates.held_submissions =
+                                          *rc::gen::inRange(10, 60);
+                                      run_one_at_a_time(seed, rates, totals);
+                                  });
+    CHECK(passed);
+    CHECK(totals.withdrawn > 0);
+    CHECK(totals.outdated > 0);
+    MESSAGE("submissions that arrived after they were given up ",
+            totals.given_up, ", refused as withdrawn ", totals.withdrawn,
+            ", as outdated ", totals.outdated);
+    report(totals);
+}
+
 // A suspended dispatcher resumes after its leases have ended and its callers
 // have resent their jobs. Its clock has counted the time.
 TEST_CASE("a dispatcher that counts the time of its suspension causes no two "
--- a/libs/gateway/src/cell_manager.cpp
+++ b/libs/gateway/src/cell_manager.cpp
@@ -1,5 +1,7 @@
 #include "cell_manager.hpp"
 
+#include "peer_wire.hpp"
+
 #include <core/log.hpp>
 #include <platform/run_codec.hpp>
 
@@ -217,6 +219,17 @@
 cell_manager::run_job(std::string const& cell, dispatch::job_spec job,
                       dispatch::entry_identity const& origin)
 {
+    if (submissions_.is_withdrawn(origin_name(origin), job.id, job.submission,
+                                  steady_clock::now()))
+    {
+        log_event(log_level::info, "submission_refused",
+                  {{"job", job.id},
+                   {"origin", origin.address},
+                   {"submission", job.submission},
+                   {"reason", name_of(dispatch::end_reason::withdrawn)}});
+        co_return dispatch::job_result{dispatch::job_end::refused,
+                                       dispatch::end_reason::withdrawn};
+    }
     auto const found = cells_.find(cell);
     if (found == cells_.end())
         co_return dispatch::job_result{dispatch::job_end::refused,
@@ -226,11 +239,14 @@
 }
 
 void cell_manager::withdraw(std::string const& cell, std::string const& id,
-                            dispatch::entry_identity const& origin)
+                            dispatch::entry_identity const& origin,
+                            std::int64_t submission)
 {
+    submissions_.record_withdrawal(origin_name(origin), id, submission,
+                                   steady_clock::now());
     auto const found = cells_.find(cell);
     if (found != cells_.end())
-        found->second->withdraw(id, origin);
+        found->second->withdraw(id, origin, submission);
 }
 
 void cell_manager::accept_released(std::string const& cell,
--- a/libs/gateway/src/cell_manager.hpp
+++ b/libs/gateway/src/cell_manager.hpp
@@ -3,6 +3,9 @@
 
 #include "cell_runner.hpp"
 
+#include <dispatch/submission_guard.hpp>
+
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -34,8 +37,11 @@
     run_job(std::string const& cell, dispatch::job_spec job,
             dispatch::entry_identity const& origin);
 
+    /// Withdraws this submission of a job and earlier ones by the same origin.
+    /// Those that arrive later are refused.
     void withdraw(std::string const& cell, std::string const& id,
-                  dispatch::entry_identity const& origin);
+                  dispatch::entry_identity const& origin,
+                  std::int64_t submission);
 
     void accept_released(std::string const& cell,
                          std::vector<std::string> const& endpoints, bool last);
@@ -83,6 +89,7 @@
     /// Until when starts may be ordered by them. Set together with them.
     time_point records_usable_until_ = time_point::max();
     std::map<std::string, std::shared_ptr<cell_runner>> cells_;
+    dispatch::submission_guard submissions_;
     /// Cells that are being probed.
     std::set<std::string> probing_;
     std::size_t probe_turn_ = 0;
--- a/libs/gateway/src/cell_runner.cpp
+++ b/libs/gateway/src/cell_runner.cpp
@@ -316,11 +316,15 @@
         co_return dispatch::job_result{dispatch::job_end::refused,
                                        dispatch::end_reason::not_dispatcher};
     job_key const key{job.id, origin_name(origin)};
-    auto const waiting =
-        std::make_shared<waiting_job>(self->executor_, origin, now);
+    auto const waiting = std::make_shared<waiting_job>(self->executor_, origin,
+                                                       job.submission, now);
     auto const earlier = self->waiting_.find(key);
     if (earlier != self->waiting_.end())
     {
+        // Submissions over different connections may overtake each other.
+        if (earlier->second->submission > job.submission)
+            co_return dispatch::job_result{dispatch::job_end::refused,
+                                           dispatch::end_reason::superseded};
         earlier->second->result = dispatch::job_result{
             dispatch::job_end::unknown, dispatch::end_reason::superseded};
         earlier->second->ended.cancel();
@@ -334,10 +338,14 @@
 }
 
 void cell_runner::withdraw(std::string const& id,
-                           dispatch::entry_identity const& origin)
+                           dispatch::entry_identity const& origin,
+                           std::int64_t submission)
 {
     auto const now = steady_clock::now();
     catch_up_after_pause(now);
+    auto const waiting = waiting_.find({id, origin_name(origin)});
+    if (waiting != waiting_.end() && waiting->second->submission > submission)
+        return;
     dispatcher_->withdraw(id, origin_name(origin), now);
     flush();
 }
--- a/libs/gateway/src/cell_runner.hpp
+++ b/libs/gateway/src/cell_runner.hpp
@@ -37,8 +37,9 @@
     run_job(std::shared_ptr<cell_runner> self, dispatch::job_spec job,
             dispatch::entry_identity origin);
 
-    void withdraw(std::string const& id,
-                  dispatch::entry_identity const& origin);
+    /// Withdraws a job, unless its origin has submitted it again since.
+    void withdraw(std::string const& id, dispatch::entry_identity const& origin,
+                  std::int64_t submission);
     void update_endpoint(dispatch::endpoint_record const& record);
     void remove_endpoint(std::string const& id);
 
@@ -75,15 +76,18 @@
     struct waiting_job
     {
         waiting_job(asio::any_io_executor const& executor,
-                    dispatch::entry_identity from, time_point now)
+                    dispatch::entry_identity from, std::int64_t number,
+                    time_point now)
             : ended(executor, asio::steady_timer::time_point::max()),
               origin(std::move(from)),
+              submission(number),
               submitted(now)
         {
         }
 
         asio::steady_timer ended;
         dispatch::entry_identity origin;
+        std::int64_t submission;
         time_point submitted;
         std::optional<dispatch::job_result> result;
     };
--- a/libs/gateway/src/job_service.cpp
+++ b/libs/gateway/src/job_service.cpp
@@ -17,6 +17,9 @@
 constexpr milliseconds dispatcher_wait{350};
 constexpr milliseconds dispatcher_pause{20};
 
+/// A job is sent again at once after this many refusals as outdated.
+constexpr int max_outdated = 2;
+
 /// When the caller should retry if there is no dispatcher.
 constexpr milliseconds no_dispatcher_retry{1'000};
 
@@ -43,6 +46,8 @@
     std::string dispatcher;
     std::string cell;
     dispatch::tried_cells tried;
+    /// Refusals because the reading of the dispatcher's clock was too old.
+    int outdated = 0;
     bool caller_gone = false;
 };
 
@@ -191,7 +196,12 @@
                 refusal = result;
                 continue;
             }
-            if (result.reason != dispatch::end_reason::not_dispatcher)
+            // The refusal came with a new reading of the dispatcher's clock.
+            if (result.reason == dispatch::end_reason::outdated &&
+                ++job->outdated <= max_outdated)
+                continue;
+            if (result.reason != dispatch::end_reason::not_dispatcher &&
+                result.reason != dispatch::end_reason::outdated)
                 co_return result;
         }
         else if (!job->tried.overloaded.empty())
@@ -209,10 +219,13 @@
 job_service::call_dispatcher(submission_ptr job)
 {
     auto const& self = state_.roster.self();
+    job->job.submission = ++last_submission_;
     if (job->dispatcher == self.address)
         co_return co_await cell_manager_.run_job(job->cell, job->job, self);
     auto content = to_wire(job->job, self);
     content.cell = job->cell;
+    content.__set_last_reading(
+        to_wire(state_.roster.last_reading(job->dispatcher)));
     auto message = peer_link::make_message(std::move(content));
     auto const dispatcher = job->dispatcher;
     state_.roster.begin_job_at(dispatcher);
@@ -221,7 +234,11 @@
         job->accepted + job->job.caller_timeout + answer_margin);
     state_.roster.end_job_at(dispatcher, steady_clock::now());
     if (result)
+    {
+        state_.roster.record_clock(dispatcher,
+                                   from_wire(result->dispatch_answer.reading));
         co_return from_wire(result->dispatch_answer);
+    }
     if (!result.error().sent)
         co_return dispatch::job_result{dispatch::job_end::refused,
                                        dispatch::end_reason::not_dispatcher,
@@ -246,7 +263,8 @@
 void job_service::withdraw(submission_ptr const& job)
 {
     if (job->dispatcher == state_.roster.self().address)
-        cell_manager_.withdraw(job->cell, job->job.id, state_.roster.self());
+        cell_manager_.withdraw(job->cell, job->job.id, state_.roster.self(),
+                               job->job.submission);
     else
         asio::co_spawn(cell_manager_.executor(), send_withdrawal(*this, job),
                        asio::detached);
@@ -260,6 +278,7 @@
     content.id = job->job.id;
     content.cell = job->cell;
     content.origin = to_wire(self.state_.roster.self());
+    content.submission = job->job.submission;
     bool silent = false;
     bool answered = false;
     for (int tried = 0; tried < withdrawal_tries && !answered; ++tried)
--- a/libs/gateway/src/job_service.hpp
+++ b/libs/gateway/src/job_service.hpp
@@ -6,6 +6,7 @@
 #include <platform/job_codec.hpp>
 #include <transport/http_message.hpp>
 
+#include <cstdint>
 #include <memory>
 
 namespace masticshift::gateway
@@ -61,6 +62,7 @@
     peer_link::peer_client& peers_;
     cell_manager& cell_manager_;
     std::size_t open_jobs_ = 0;
+    std::int64_t last_submission_ = 0;
     bool closed_ = false;
 };
 
--- a/libs/gateway/src/peer_exchange.cpp
+++ b/libs/gateway/src/peer_exchange.cpp
@@ -175,7 +175,8 @@
         co_return co_await handle_dispatch_call(std::move(call.dispatch_call));
     case withdraw_call:
         cell_manager_.withdraw(call.withdraw_call.cell, call.withdraw_call.id,
-                               from_wire(call.withdraw_call.origin));
+                               from_wire(call.withdraw_call.origin),
+                               call.withdraw_call.submission);
         break;
     case release_call:
         cell_manager_.accept_released(call.release_call.cell,
@@ -215,12 +216,51 @@
     auto job = from_wire(std::move(call));
     if (!job)
         co_return refuse(job.error());
-    if (!state_.roster.record_job_from(*origin, steady_clock::now()))
+    auto const now = steady_clock::now();
+    auto sent_after = now;
+    if (call.__isset.last_reading)
+    {
+        auto const reading = from_wire(call.last_reading);
+        if (refuses_as_outdated(*job, *origin, reading, now))
+            co_return reply_to_job(
+                {dispatch::job_end::refused, dispatch::end_reason::outdated});
+        sent_after = time_point(reading.time);
+    }
+    if (!state_.roster.record_job_from(*origin, sent_after, now))
         co_return refuse({result_code::peer_protocol,
                           "the entry that sent the job has ended"});
-    auto const result =
-        co_await cell_manager_.run_job(cell, std::move(*job), *origin);
-    co_return peer_link::make_message(to_wire(result));
+    co_return reply_to_job(
+        co_await cell_manager_.run_job(cell, std::move(*job), *origin));
+}
+
+bool peer_exchange::refuses_as_outdated(dispatch::job_spec const& job,
+                                        dispatch::entry_identity const& origin,
+                                        dispatch::clock_reading const& last,
+                                        time_point now)
+{
+    auto const& self = state_.roster.self();
+    bool const alive = state_.roster.is_alive(origin, now);
+    if (!dispatch::submission_guard::is_outdated(last, self, alive, now))
+        return false;
+    auto const age = dispatch::reading_at(now) - last.time;
+    log_event(log_level::info, "submission_refused",
+              {{"job", job.id},
+               {"origin", origin.address},
+               {"submission", job.submission},
+               {"reason", name_of(dispatch::end_reason::outdated)},
+               {"reading_age_ms",
+                last.incarnation == self.incarnation ? age.count() : -1}});
+    return true;
+}
+
+wire::message
+peer_exchange::reply_to_job(dispatch::job_result const& result) const
+{
+    auto reply = to_wire(result);
+    reply.reading = to_wire(
+        dispatch::clock_reading{state_.roster.self().incarnation,
+                                dispatch::reading_at(steady_clock::now())});
+    return peer_link::make_message(std::move(reply));
 }
 
 asio::awaitable<wire::message>
--- a/libs/gateway/src/peer_exchange.hpp
+++ b/libs/gateway/src/peer_exchange.hpp
@@ -37,6 +37,13 @@
                                                 std::string peer);
     asio::awaitable<wire::message>
     handle_dispatch_call(wire::dispatch_job call);
+    /// Whether a submission is not taken because its entry may have given it
+    /// up. `last`: the reading of this entry's clock that came with it.
+    bool refuses_as_outdated(dispatch::job_spec const& job,
+                             dispatch::entry_identity const& origin,
+                             dispatch::clock_reading const& last,
+                             time_point now);
+    wire::message reply_to_job(dispatch::job_result const& result) const;
     asio::awaitable<wire::message> handle_relay_call(wire::relay_read call);
     asio::awaitable<bool> read_directory();
     void log_refused(failure const& reason);
--- a/libs/gateway/src/peer_wire.cpp
+++ b/libs/gateway/src/peer_wire.cpp
@@ -55,6 +55,11 @@
     return milliseconds(std::clamp<std::int64_t>(ms, 0, longest_time_ms));
 }
 
+milliseconds clock_from_wire(std::int64_t ms)
+{
+    return milliseconds(std::clamp<std::int64_t>(ms, 0, largest_exact));
+}
+
 wire::dispatch_step to_wire(dispatch::job_step const& step)
 {
     wire::dispatch_step converted;
@@ -163,6 +168,7 @@
         converted.known.push_back(to_wire(entry));
     converted.is_periodic = heartbeat.is_periodic;
     converted.wants_claims = heartbeat.wants_claims;
+    converted.clock_ms = heartbeat.clock.count();
     for (auto const& each : heartbeat.relayed)
     {
         wire::relayed_claim row;
@@ -187,6 +193,7 @@
         converted.known.push_back(from_wire(entry));
     converted.is_periodic = pulse.is_periodic;
     converted.wants_claims = pulse.wants_claims;
+    converted.clock = clock_from_wire(pulse.clock_ms);
     for (auto const& row : pulse.relayed)
         converted.relayed.push_back({from_wire(row.holder),
                                      from_wire(row.claim),
@@ -230,6 +237,19 @@
     return from_wire(valid);
 }
 
+wire::clock_reading to_wire(dispatch::clock_reading const& reading)
+{
+    wire::clock_reading converted;
+    converted.incarnation = reading.incarnation;
+    converted.clock_ms = reading.time.count();
+    return converted;
+}
+
+dispatch::clock_reading from_wire(wire::clock_reading const& reading)
+{
+    return {reading.incarnation, clock_from_wire(reading.clock_ms)};
+}
+
 wire::dispatch_job to_wire(dispatch::job_spec const& job,
                            dispatch::entry_identity const& origin)
 {
@@ -248,6 +268,7 @@
     converted.origin = to_wire(origin);
     converted.only_if_idle = job.only_if_idle;
     converted.age_ms = job.age.count();
+    converted.submission = job.submission;
     return converted;
 }
 
@@ -279,6 +300,7 @@
     converted.caller_timeout = time_from_wire(job.patience_ms);
     converted.only_if_idle = job.only_if_idle;
     converted.age = time_from_wire(job.age_ms);
+    converted.submission = job.submission;
     return converted;
 }
 
@@ -297,7 +319,7 @@
     constexpr auto last_end =
         static_cast<std::int32_t>(dispatch::job_end::unknown);
     constexpr auto last_reason =
-        static_cast<std::int32_t>(dispatch::end_reason::endpoints_crashed);
+        static_cast<std::int32_t>(dispatch::end_reason::outdated);
     if (reply.outcome >= 0 && reply.outcome <= last_end)
         converted.end = static_cast<dispatch::job_end>(reply.outcome);
     if (reply.reason >= 0 && reply.reason <= last_reason)
--- a/libs/gateway/src/peer_wire.hpp
+++ b/libs/gateway/src/peer_wire.hpp
@@ -28,6 +28,9 @@
 outcome<dispatch::entry_identity> decode_entry(wire::entry_record const& entry);
 outcome<dispatch::entry_heartbeat> decode_heartbeat(wire::pulse const& pulse);
 
+wire::clock_reading to_wire(dispatch::clock_reading const& reading);
+dispatch::clock_reading from_wire(wire::clock_reading const& reading);
+
 wire::dispatch_job to_wire(dispatch::job_spec const& job,
                            dispatch::entry_identity const& origin);
 
--- a/libs/gateway/tests/deployment.hpp
+++ b/libs/gateway/tests/deployment.hpp
@@ -79,6 +79,16 @@
             .value();
     }
 
+    config::socket_address const& peer_address(std::size_t number) const
+    {
+        return entries_[number].settings.gateway.peer_address;
+    }
+
+    boost::asio::any_io_executor executor()
+    {
+        return context_.get_executor();
+    }
+
     gateway& at(std::size_t number)
     {
         return *gateways_[number];
--- a/libs/peer_link/idl/masticshift.thrift
+++ b/libs/peer_link/idl/masticshift.thrift
@@ -179,6 +179,13 @@
   4: i32 processor
 }
 
+// The steady clock of an entry. A message that carries the receiver's own reading
+// was sent after that time.
+struct clock_reading {
+  1: i64 incarnation
+  2: i64 clock_ms
+}
+
 // The sender claims to dispatch a cell with this fencing token.
 struct dispatch_claim {
   1: string cell
@@ -216,6 +223,8 @@
   // The response should contain the claims of other entries.
   8: bool wants_claims
   9: list<relayed_claim> relayed
+  // The sender's steady clock when it made this heartbeat.
+  10: i64 clock_ms
 }
 
 struct pulse_reply {
@@ -255,6 +264,11 @@
   13: bool only_if_idle
   // Time since the entry accepted the job.
   14: i64 age_ms
+  // The entry numbers its submissions in ascending order.
+  15: i64 submission
+  // The receiver's newest clock reading that the entry had when it sent the job;
+  // incarnation 0 if it had none. Absent from entries that do not know it.
+  16: optional clock_reading last_reading
 }
 
 struct dispatch_reply {
@@ -262,6 +276,8 @@
   1: i32 outcome
   2: i32 reason
   3: i64 retry_after_ms
+  // The dispatcher's clock when it sent the reply.
+  4: clock_reading reading
 }
 
 // Withdraws a job because its caller has disconnected or because the call that
@@ -270,6 +286,8 @@
   1: string id
   2: entry_record origin
   3: string cell
+  // The last submission of the job that is withdrawn.
+  4: i64 submission
 }
 
 // The sender, a retiring dispatcher, has no running tasks left on these
