An entry dispatches no request whose caller has gone while it was paused

Cause: `job_service::submit` sent a job to its dispatcher before the first look for the end of the caller's connection, which waits for the next turn of the loop. Nothing bounded how long a request had waited in the socket.

Change: before each time that a job is sent, the operating system is asked whether the caller has closed the connection. After a pause, a request that may have waited for more than a second is refused with 503, 210 `request_waited`; callers submit again after 1,300 ms at the earliest. A job that arrives at its dispatcher after its caller's timeout starts nothing.

Cost: one more system call a job. A 503 in the first 250 ms after a pause of about a second or more; its callers are told when to come back.

--- a/libs/core/include/core/result_code.hpp
+++ b/libs/core/include/core/result_code.hpp
@@ -43,6 +43,7 @@
     too_many_connections = 207,
     unsupported_job = 208,
     no_dispatcher = 209,
+    request_waited = 210,
 
     // An accepted job ended without a complete answer.
     outcome_unknown = 300,
--- a/libs/core/src/result_code.cpp
+++ b/libs/core/src/result_code.cpp
@@ -61,6 +61,8 @@
                      "Leave out what docs/API.md lists as not offered."},
     result_code_info{no_dispatcher, "no_dispatcher", 503,
                      "No entry dispatches at the moment; submit again."},
+    result_code_info{request_waited, "request_waited", 503,
+                     "The entry was paused and ran nothing; submit again."},
     result_code_info{outcome_unknown, "outcome_unknown", 502,
                      "Tasks may have run; check before submitting anew."},
     result_code_info{deadline_passed, "deadline_passed", 504,
--- a/libs/dispatch/src/dispatcher_jobs.cpp
+++ b/libs/dispatch/src/dispatcher_jobs.cpp
@@ -97,6 +97,11 @@
     jobs_[job->spec.id] = job;
     if (give_up_crashing(job, now))
         return;
+    if (now >= job->deadline)
+    {
+        finish(job, refused(end_reason::out_of_time, min_retry_after), now);
+        return;
+    }
     if (retiring_)
     {
         finish(job, {job_end::refused, end_reason::not_dispatcher}, now);
--- a/libs/dispatch/tests/lost_caller_test.cpp
+++ b/libs/dispatch/tests/lost_caller_test.cpp
@@ -59,3 +59,16 @@
     f.read_all();
     CHECK(f.tested.runs() == 0);
 }
+
+TEST_CASE("a job that arrives after its caller's timeout starts nothing")
+{
+    dispatcher_fixture f(1);
+    auto spec = make_spec("a", 1);
+    spec.age = spec.caller_timeout;
+    f.tested.submit(spec, "home", f.now);
+    CHECK(f.tested.take_starts().empty());
+    auto const finished = f.tested.take_finished();
+    REQUIRE(finished.size() == 1);
+    CHECK(finished[0].result.end == job_end::refused);
+    CHECK(finished[0].result.reason == end_reason::out_of_time);
+}
--- a/libs/gateway/src/cell_manager.cpp
+++ b/libs/gateway/src/cell_manager.cpp
@@ -31,6 +31,7 @@
     for (;;)
     {
         auto const now = steady_clock::now();
+        state_.input.observe(now);
         log_ended_peers(now);
         apply_registry_changes(now);
         update_roles(now);
--- a/libs/gateway/src/gateway_state.hpp
+++ b/libs/gateway/src/gateway_state.hpp
@@ -2,6 +2,7 @@
 #define MASTICSHIFT_GATEWAY_GATEWAY_STATE_HPP
 
 #include "gateway_metrics.hpp"
+#include "input_delay.hpp"
 
 #include <config/gateway_settings.hpp>
 #include <dispatch/configuration.hpp>
@@ -34,6 +35,7 @@
     /// Speeds of VMs, learnt by this entry's dispatchers or received from
     /// peers.
     std::unordered_map<std::string, double> learnt_speeds;
+    input_delay input;
     /// Whether this entry drains.
     bool leaving = false;
     gateway_metrics metrics;
--- a/libs/gateway/src/job_service.cpp
+++ b/libs/gateway/src/job_service.cpp
@@ -5,6 +5,8 @@
 #include <core/log.hpp>
 #include <dispatch/cell_choice.hpp>
 
+#include <utility>
+
 namespace masticshift::gateway
 {
 
@@ -17,6 +19,11 @@
 constexpr milliseconds dispatcher_wait{350};
 constexpr milliseconds dispatcher_pause{20};
 
+/// A caller that got no response submits its job again after 1,300 ms at the
+/// earliest. A request that may have waited longer than this is refused: its
+/// runs could not be stopped before that.
+constexpr milliseconds longest_unread{1'000};
+
 /// A job is sent again at once after this many refusals as outdated.
 constexpr int max_outdated = 2;
 
@@ -48,6 +55,7 @@
     dispatch::tried_cells tried;
     /// Refusals because the reading of the dispatcher's clock was too old.
     int outdated = 0;
+    std::weak_ptr<transport::disconnect_notifier> caller;
     bool caller_gone = false;
 };
 
@@ -73,6 +81,12 @@
     constexpr unsigned bad_request = 400;
     constexpr unsigned not_allowed = 405;
     auto const call = platform::decode_caller_request(request);
+    auto const delay = state_.input.longest(steady_clock::now());
+    if (delay > longest_unread && call.call == platform::caller_call::submit)
+        co_return reject(
+            platform::encode_refusal(unavailable, no_dispatcher_retry), call,
+            result_code::request_waited,
+            std::to_string(to_milliseconds(delay)) + " ms");
     if (closed_)
         co_return reject(
             platform::encode_refusal(unavailable, no_dispatcher_retry), call,
@@ -131,6 +145,7 @@
     auto const job = std::make_shared<submission>();
     job->job = std::move(*decoded);
     job->accepted = steady_clock::now();
+    job->caller = request.caller;
     if (request.caller)
         request.caller->on_disconnect(
             [this, job]
@@ -178,7 +193,7 @@
     dispatch::job_result refusal{dispatch::job_end::refused,
                                  dispatch::end_reason::not_dispatcher,
                                  no_dispatcher_retry};
-    while (!job->caller_gone)
+    while (is_wanted(*job))
     {
         if (choose_cell(*job))
         {
@@ -252,10 +267,22 @@
                                    dispatch::end_reason::endpoint_lost};
 }
 
+bool job_service::is_wanted(submission& job)
+{
+    auto const caller = job.caller.lock();
+    if (!job.caller_gone && caller && caller->has_ended())
+    {
+        job.caller_gone = true;
+        state_.metrics.callers_gone.add();
+    }
+    return !job.caller_gone;
+}
+
 void job_service::handle_caller_gone(submission_ptr const& job)
 {
+    if (std::exchange(job->caller_gone, true))
+        return;
     state_.metrics.callers_gone.add();
-    job->caller_gone = true;
     if (!job->dispatcher.empty())
         withdraw(job);
 }
--- a/libs/gateway/src/job_service.hpp
+++ b/libs/gateway/src/job_service.hpp
@@ -49,6 +49,8 @@
     asio::awaitable<dispatch::job_result> dispatch(submission_ptr job);
     asio::awaitable<dispatch::job_result> call_dispatcher(submission_ptr job);
     bool choose_cell(submission& job);
+    /// Whether the caller still waits for the answer.
+    bool is_wanted(submission& job);
     void handle_caller_gone(submission_ptr const& job);
     static asio::awaitable<void> send_withdrawal(job_service& self,
                                                  submission_ptr job);
--- a/libs/gateway/tests/deployment.hpp
+++ b/libs/gateway/tests/deployment.hpp
@@ -79,6 +79,11 @@
             .value();
     }
 
+    config::socket_address const& caller_address(std::size_t number) const
+    {
+        return entries_[number].settings.gateway.caller_address;
+    }
+
     config::socket_address const& peer_address(std::size_t number) const
     {
         return entries_[number].settings.gateway.peer_address;
--- a/libs/gateway/tests/unwanted_submission_test.cpp
+++ b/libs/gateway/tests/unwanted_submission_test.cpp
@@ -10,6 +10,7 @@
 
 #include <optional>
 #include <string>
+#include <thread>
 
 using namespace masticshift;
 using masticshift::gateway::deployment;
@@ -162,6 +163,45 @@
     wire::clock_reading last_reading_;
 };
 
+/// A caller that submits a job without waiting for the answer.
+class impatient_caller
+{
+public:
+    impatient_caller(config::socket_address const& address, unsigned number)
+        : socket_(context_)
+    {
+        socket_.connect(
+            {boost::asio::ip::make_address(address.ip), address.port});
+        std::string const body =
+            R"({"best_effort":true,"spec":"s",)"
+            R"("steps":[{"count":1,"cpu":1000,"mem_mb":64,"estimate_ms":40}]})";
+        std::string const id = "00000000000000b" + std::to_string(number);
+        std::string const request =
+            "POST /q/" + id +
+            " HTTP/1.1\r\nHost: jobs.example\r\nX-Deadline-Ms: 1500\r\n"
+            "Content-Length: " +
+            std::to_string(body.size()) + "\r\n\r\n" + body;
+        boost::asio::write(socket_, boost::asio::buffer(request));
+    }
+
+    void close()
+    {
+        socket_.close();
+    }
+
+    /// What has arrived.
+    std::string read()
+    {
+        std::string answer(socket_.available(), '\0');
+        boost::asio::read(socket_, boost::asio::buffer(answer));
+        return answer;
+    }
+
+private:
+    boost::asio::io_context context_;
+    boost::asio::ip::tcp::socket socket_;
+};
+
 } // namespace
 
 // The job ran although its entry had given it up, beside its next submission.
@@ -215,3 +255,39 @@
     tested.withdraw(1);
     CHECK(tested.end_submit(running).end == dispatch::job_end::completed);
 }
+
+// After a pause the requests of callers that had gone were dispatched before
+// the ends of their connections were noticed.
+TEST_CASE("an entry that was paused starts nothing for callers that have gone")
+{
+    deployment fixture;
+    fixture.add_endpoints("north", 2);
+    fixture.add_gateway("north", 0.25);
+    REQUIRE(fixture.run_until_ready(0));
+    for (unsigned number = 0; number < 4; ++number)
+        impatient_caller(fixture.caller_address(0), number).close();
+    std::this_thread::sleep_for(milliseconds(200));
+    fixture.run(milliseconds(300));
+    CHECK(fixture.platform().findings().starts == 0);
+}
+
+// The end of a connection may not reach the entry.
+TEST_CASE(
+    "an entry that was paused refuses requests that have waited too long, "
+    "and takes new ones soon")
+{
+    deployment fixture;
+    fixture.add_endpoints("north", 2);
+    fixture.add_gateway("north", 0.25);
+    REQUIRE(fixture.run_until_ready(0));
+    impatient_caller waiting(fixture.caller_address(0), 0);
+    std::this_thread::sleep_for(milliseconds(1'200));
+    fixture.run(milliseconds(300));
+    auto const answer = waiting.read();
+    CHECK(answer.starts_with("HTTP/1.1 503 "));
+    CHECK(answer.find("Retry-After: 1") != std::string::npos);
+    CHECK(fixture.platform().findings().starts == 0);
+    impatient_caller next(fixture.caller_address(0), 1);
+    fixture.run(milliseconds(300));
+    CHECK(next.read().starts_with("HTTP/1.1 200 "));
+}
--- a/libs/transport/include/transport/http_message.hpp
+++ b/libs/transport/include/transport/http_message.hpp
@@ -34,12 +34,21 @@
 class disconnect_notifier
 {
 public:
-    /// `watch` starts to watch for the end of the connection.
-    explicit disconnect_notifier(std::function<void()> watch)
-        : watch_(std::move(watch))
+    /// `watch` starts to watch for the end of the connection; `has_ended` asks
+    /// the operating system whether the client has closed it.
+    disconnect_notifier(std::function<void()> watch,
+                        std::function<bool()> has_ended)
+        : watch_(std::move(watch)), has_ended_(std::move(has_ended))
     {
     }
 
+    /// Whether the client has closed the connection. After a pause of this
+    /// process, the callback may come after other work.
+    bool has_ended() const
+    {
+        return has_ended_ && has_ended_();
+    }
+
     /// Calls `notify` once if the client disconnects before the request is
     /// answered.
     void on_disconnect(std::function<void()> notify)
@@ -67,10 +76,12 @@
     {
         notify_ = nullptr;
         watch_ = nullptr;
+        has_ended_ = nullptr;
     }
 
 private:
     std::function<void()> watch_;
+    std::function<bool()> has_ended_;
     std::function<void()> notify_;
 };
 
--- a/libs/transport/src/http_server.cpp
+++ b/libs/transport/src/http_server.cpp
@@ -5,6 +5,8 @@
 #include <list>
 #include <stdexcept>
 
+#include <poll.h>
+
 namespace masticshift::transport
 {
 
@@ -78,6 +80,20 @@
         });
 }
 
+/// Whether the client has closed or reset the connection, also if bytes of its
+/// next request wait before the end.
+bool has_ended(tcp::socket& socket)
+{
+    char byte = 0;
+    beast::error_code error;
+    socket.non_blocking(true, error);
+    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    if (error)
+        return error != asio::error::would_block;
+    pollfd watched{socket.native_handle(), POLLRDHUP, 0};
+    return ::poll(&watched, 1, 0) > 0;
+}
+
 /// Watches for the end of a connection while its request is handled. The watch
 /// ends when bytes arrive, because they belong to the next request.
 void watch_for_end(std::weak_ptr<session> const& watched,
@@ -94,13 +110,7 @@
             auto const read = watched.lock();
             if (error == asio::error::operation_aborted || !waiting || !read)
                 return;
-            char byte = 0;
-            beast::error_code peeked;
-            auto& socket = read->stream.socket();
-            socket.non_blocking(true, peeked);
-            socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek,
-                           peeked);
-            if (peeked && peeked != asio::error::would_block)
+            if (has_ended(read->stream.socket()))
                 waiting->notify_disconnected();
         });
 }
@@ -332,7 +342,12 @@
         {
             watch_for_end(watched, caller);
         };
-        caller = std::make_shared<disconnect_notifier>(watch);
+        auto const ask = [watched = std::weak_ptr(owned)]
+        {
+            auto const asked = watched.lock();
+            return asked && has_ended(asked->stream.socket());
+        };
+        caller = std::make_shared<disconnect_notifier>(watch, ask);
         request.caller = caller;
         auto response = co_await answer(std::move(request));
         if (caller->watched())
