An endpoint takes work only by the record of the process that answers there

Cause: an endpoint's list shows the new start time tens of milliseconds after the restart, the store's record with labels and capacity is read each 400 ms, and nothing compared the two.

Change: work is placed only while both name the same start time. Where a list shows a process without a record, the records are read again at once, and each 100 ms for a second.

Cost: no work there from the first list until the record is read.

--- a/libs/dispatch/include/dispatch/dispatcher.hpp
+++ b/libs/dispatch/include/dispatch/dispatcher.hpp
@@ -131,6 +131,10 @@
     /// of the endpoints are too old then. No limit by default.
     void use_records_until(time_point end);
 
+    /// Whether a process has answered whose record is not known, so that the
+    /// records should be read again. No work is placed there until then.
+    bool needs_records(time_point now) const;
+
     /// Places no new work on the endpoint, and removes it when its runs have
     /// ended.
     void remove_endpoint(std::string const& id);
--- a/libs/dispatch/src/dispatcher.cpp
+++ b/libs/dispatch/src/dispatcher.cpp
@@ -192,6 +192,13 @@
     account->record_clock(endpoint_clock, now);
     if (changes.restarted)
         raise_token(*account);
+    if (changes.restarted && !account->record_matches_process())
+        decisions_.push_back({"endpoint_record_outdated",
+                              {},
+                              {},
+                              endpoint,
+                              "no_work",
+                              static_cast<double>(list.started_ms)});
     record_crashes(*account, now);
     for (auto const& key : changes.foreign)
     {
@@ -387,6 +394,15 @@
     impl_->records_usable_until_ = end;
 }
 
+bool dispatcher::needs_records(time_point now) const
+{
+    return std::ranges::any_of(impl_->accounts_,
+                               [&](auto const& each)
+                               {
+                                   return each.second->needs_record(now);
+                               });
+}
+
 void dispatcher::remove_endpoint(std::string const& id)
 {
     impl_->remove_endpoint(id);
--- a/libs/dispatch/src/endpoint_account.cpp
+++ b/libs/dispatch/src/endpoint_account.cpp
@@ -46,6 +46,10 @@
            now - run.confirmed >= settling_time;
 }
 
+/// A process writes its record to the store when it starts. One that is still
+/// missing after this time is left to the regular reads.
+constexpr milliseconds record_search_time{1'000};
+
 constexpr std::array link_names{"unread", "active", "silent", "outranked"};
 
 } // namespace
@@ -99,8 +103,11 @@
 {
     auto const proof =
         process_end::from_start_times(process_started_ms_, started_ms);
-    if (started_ms != 0)
+    if (started_ms != 0 && started_ms != process_started_ms_)
+    {
         process_started_ms_ = started_ms;
+        process_found_ = now;
+    }
     if (!proof)
         return false;
     mark_process_ended(*proof, now);
@@ -135,7 +142,20 @@
 {
     return link_ == endpoint_link::active &&
            record_.stage == endpoint_stage::ready && clock_.known() &&
-           all_wanted();
+           record_matches_process() && all_wanted();
+}
+
+bool endpoint_account::record_matches_process() const
+{
+    // 0: unknown.
+    return process_started_ms_ == 0 || record_.started_ms == 0 ||
+           record_.started_ms == process_started_ms_;
+}
+
+bool endpoint_account::needs_record(time_point now) const
+{
+    return !record_matches_process() &&
+           now - process_found_ < record_search_time;
 }
 
 bool endpoint_account::is_being_read() const
--- a/libs/dispatch/src/endpoint_account.hpp
+++ b/libs/dispatch/src/endpoint_account.hpp
@@ -171,9 +171,18 @@
     resources free() const;
 
     /// Whether new work may be placed: the endpoint is active and ready, its
-    /// clock is known, and none of its runs has to be stopped.
+    /// clock is known, its record describes the process that answers, and none
+    /// of its runs has to be stopped.
     bool takes_work() const;
 
+    /// Whether the record is that of the process that answered the last list.
+    /// Another process may have other labels and another capacity.
+    bool record_matches_process() const;
+
+    /// Whether a newer record is to be read from the store at once. Later on
+    /// the regular reads are enough.
+    bool needs_record(time_point now) const;
+
     /// Whether a run there must stay alone.
     bool runs_alone() const
     {
@@ -287,6 +296,8 @@
     lease_clock clock_;
     /// Start time of the process that answered the last list; 0 if unknown.
     std::int64_t process_started_ms_ = 0;
+    /// When that start time was first listed.
+    time_point process_found_{};
     /// Counts the changes of the record's address, and which one of them
     /// answered the last list.
     int address_number_ = 0;
--- a/libs/dispatch/tests/crashing_task_test.cpp
+++ b/libs/dispatch/tests/crashing_task_test.cpp
@@ -418,6 +418,7 @@
     {
         auto& model = f.models.at(id);
         model.restart(model.record().started_ms + 1);
+        f.tested.update_endpoint(model.record());
         for (int i = 0; i < 2; ++i)
             f.tested.list_failed(id, order_response::other_instance, f.now);
     };
--- a/libs/dispatch/tests/ended_process_test.cpp
+++ b/libs/dispatch/tests/ended_process_test.cpp
@@ -339,6 +339,7 @@
     fail_lists(f, "e0", order_response::connection_refused);
     CHECK(f.tested.take_starts().empty());
     f.models.at("e0").restart(2'000);
+    f.tested.update_endpoint(f.models.at("e0").record());
     f.advance(milliseconds(50));
     f.read_all();
     CHECK(f.tested.take_starts().empty());
--- a/libs/dispatch/tests/interleaving_model.hpp
+++ b/libs/dispatch/tests/interleaving_model.hpp
@@ -105,6 +105,7 @@
             maybe_fail_link();
             maybe_kill_entry();
             deliver_late_orders();
+            deliver_records();
             deliver_submissions();
             for (auto& cell : cells_)
                 drive_cell(cell);
@@ -150,6 +151,8 @@
     static constexpr milliseconds longest_wait{450};
     static constexpr milliseconds longest_withdrawal{400};
     static constexpr milliseconds longest_hold{2'500};
+    /// Time until dispatchers have read what an endpoint has written.
+    static constexpr milliseconds longest_record_delay{450};
     /// Age of the newest clock reading that an entry has.
     static constexpr milliseconds longest_reading_age{150};
     /// Held-up orders are carried out within this time.
@@ -187,6 +190,8 @@
         time_point started{};
         /// It refuses connections until then.
         time_point down_until{};
+        /// When dispatchers read the record of its last process.
+        std::optional<time_point> record_read_at;
         /// Token of its cell's dispatcher when its process started.
         std::int64_t token_at_start = 0;
         int drivers_at_start = 0;
@@ -617,6 +622,9 @@
         crashed.model.restart(crashed.model.record().started_ms + 1);
         crashed.down_until = now_ + milliseconds(pick(0, 1'500));
         crashed.started = crashed.down_until;
+        crashed.record_read_at =
+            crashed.down_until +
+            pick_time(milliseconds(0), longest_record_delay);
         crashed.token_at_start =
             cell.present ? cell.present->tested->token() : cell.highest_token;
         crashed.drivers_at_start = drivers_;
@@ -625,6 +633,23 @@
         record({}, crashed.model.record().id + " crashes");
     }
 
+    void deliver_records()
+    {
+        for (std::size_t i = 0; i < endpoint_count; ++i)
+        {
+            auto& each = endpoints_[i];
+            if (!each.record_read_at || now_ < *each.record_read_at)
+                continue;
+            each.record_read_at.reset();
+            auto& cell = cells_[i / endpoints_per_cell];
+            for (auto* const reader : {cell.present.get(), cell.former.get()})
+            {
+                if (reader != nullptr)
+                    reader->tested->update_endpoint(each.model.record());
+            }
+        }
+    }
+
     void maybe_fail_link()
     {
         if (!chance(10) || !chance(rates_.link_faults))
--- a/libs/gateway/src/cell_manager.cpp
+++ b/libs/gateway/src/cell_manager.cpp
@@ -20,6 +20,9 @@
 /// How often to look for peers that have ended.
 constexpr milliseconds ended_peers_interval{50};
 
+/// How often records are asked for while the one of a new process is missing.
+constexpr milliseconds record_request_interval{100};
+
 /// A reachable endpoint responds within a millisecond.
 constexpr milliseconds probe_timeout{200};
 
@@ -41,6 +44,7 @@
             cell->step(now);
             busy = busy || cell->dispatcher().runs() > 0;
         }
+        request_records(now);
         update_claims();
         update_metrics(now);
         co_await pause(busy ? busy_tick : idle_tick);
@@ -177,8 +181,25 @@
             runner->update_endpoint(record);
     }
     update_claims();
-    if (on_take_over_)
-        on_take_over_();
+    if (on_records_needed_)
+        on_records_needed_();
+}
+
+void cell_manager::request_records(time_point now)
+{
+    if (!on_records_needed_ ||
+        now - records_requested_ < record_request_interval)
+        return;
+    bool const needed = std::ranges::any_of(
+        cells_,
+        [&](auto const& each)
+        {
+            return each.second->dispatcher().needs_records(now);
+        });
+    if (!needed)
+        return;
+    records_requested_ = now;
+    on_records_needed_();
 }
 
 void cell_manager::stop(time_point now)
--- a/libs/gateway/src/cell_manager.hpp
+++ b/libs/gateway/src/cell_manager.hpp
@@ -26,10 +26,11 @@
 
     asio::awaitable<void> run();
 
-    /// `function` is called when this entry takes over a cell.
-    void on_take_over(std::function<void()> function)
+    /// `function` is called when newer records of the endpoints are needed at
+    /// once: a cell was taken over, or an endpoint has restarted.
+    void on_records_needed(std::function<void()> function)
     {
-        on_take_over_ = std::move(function);
+        on_records_needed_ = std::move(function);
     }
 
     /// Dispatches a job in a cell and waits until it has ended.
@@ -75,6 +76,8 @@
     static asio::awaitable<void> probe(cell_manager& self, dispatch::cell cell);
     std::optional<dispatch::endpoint_record>
     next_endpoint_to_probe(std::string const& cell);
+    /// Asks for newer records if a cell needs them.
+    void request_records(time_point now);
     void update_claims();
     void update_metrics(time_point now);
 
@@ -94,7 +97,8 @@
     std::set<std::string> probing_;
     std::size_t probe_turn_ = 0;
     time_point ended_peers_taken_{};
-    std::function<void()> on_take_over_;
+    time_point records_requested_{};
+    std::function<void()> on_records_needed_;
 };
 
 } // namespace masticshift::gateway
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -163,7 +163,7 @@
               error_response),
           loops_(executor_, "gateway")
     {
-        cell_manager_.on_take_over(
+        cell_manager_.on_records_needed(
             [this]
             {
                 endpoints_.read_now();
