Soak: jobs that arrive after those who sent them have given up

Its proxy ended a connection with all that it carried, or delayed everything alike; its callers waited for longer than a paused entry.

Tasks take a second, so that two runs meet.

--- a/build.sh
+++ b/build.sh
@@ -71,7 +71,7 @@
   lint      check protocol names, format and clang-tidy
   asan      build and test with the address and undefined sanitizers
   faults    run the full fault matrix on real processes
-  soak      run gateways under random faults with seventy seeds
+  soak      run gateways under random faults with ninety seeds
   bench     run the load scenarios and write the report
   capacity  measure the slopes behind docs/CAPACITY.md
 TEXT
@@ -102,7 +102,8 @@
         install_packages
         build release
         out/release/bin/gateway_soak --seed 1000 --seeds 50
-        out/release/bin/gateway_soak --links --seed 2000 --seeds 20 ;;
+        out/release/bin/gateway_soak --links --seed 2000 --seeds 20
+        out/release/bin/gateway_soak --abandoned --seed 3000 --seeds 20 ;;
     bench)
         install_packages
         build release
--- a/libs/test_support/include/test_support/relay.hpp
+++ b/libs/test_support/include/test_support/relay.hpp
@@ -23,6 +23,10 @@
     delayed,
     /// Resets open connections, and new ones once they are accepted.
     resetting,
+    /// Connections open at this time hold all further data until the next
+    /// state, and pass it on then. New connections work, so that their data
+    /// overtakes it.
+    held,
     /// Passes on what callers send and loses the responses, on the connections
     /// concerned also in later states.
     one_way
--- a/libs/test_support/src/relay.cpp
+++ b/libs/test_support/src/relay.cpp
@@ -20,6 +20,7 @@
 constexpr auto as_values = asio::as_tuple(asio::use_awaitable);
 constexpr int bind_attempts = 5;
 constexpr std::size_t buffer_size = 16 << 10;
+constexpr milliseconds hold_check_interval{5};
 
 /// The accepted socket and the socket to the target that it is relayed to.
 struct relayed_connection
@@ -48,6 +49,7 @@
     tcp::socket accepted_socket;
     tcp::socket target_socket;
     bool silent = false;
+    bool held = false;
     bool loses_responses = false;
 };
 
@@ -101,11 +103,11 @@
             open();
         if (state == link_state::resetting)
             reset_connections();
-        if (state != link_state::silent)
-            return;
         for (auto const& connection : take_connections())
         {
-            connection->silent = true;
+            connection->held = state == link_state::held;
+            connection->silent =
+                connection->silent || state == link_state::silent;
             connections_.push_back(connection);
         }
     }
@@ -216,7 +218,9 @@
             if (read_error)
                 break;
             if (state_ == link_state::delayed)
-                co_await wait_for_delay();
+                co_await wait_for(delay_);
+            while (connection->held)
+                co_await wait_for(hold_check_interval);
             if (connection->silent || is_lost_response(*connection, to))
                 continue;
             auto const [write_error, written] = co_await asio::async_write(
@@ -240,9 +244,9 @@
         return connection.loses_responses;
     }
 
-    asio::awaitable<void> wait_for_delay()
+    asio::awaitable<void> wait_for(milliseconds pause)
     {
-        asio::steady_timer timer(executor_, delay_);
+        asio::steady_timer timer(executor_, pause);
         co_await timer.async_wait(as_values);
     }
 
--- a/tools/gateway_soak/src/main.cpp
+++ b/tools/gateway_soak/src/main.cpp
@@ -18,6 +18,9 @@
 DEFINE_bool(links, false,
             "refuse, reset and cut links to endpoints that work on, while "
             "others restart and orders are held up");
+DEFINE_bool(abandoned, false,
+            "hold data on links between gateways and pause gateways, so that "
+            "jobs arrive after those who sent them have given up");
 DEFINE_bool(keep, false, "keep the logs of all runs, also of those that pass");
 DEFINE_string(program, "",
               "path of masticshiftd; default: in the folder of this program");
@@ -52,6 +55,8 @@
 {
     if (FLAGS_handovers)
         return gateway_soak::fault_set::handovers;
+    if (FLAGS_abandoned)
+        return gateway_soak::fault_set::abandoned_jobs;
     return FLAGS_links ? gateway_soak::fault_set::links
                        : gateway_soak::fault_set::all;
 }
--- a/tools/gateway_soak/src/soak_callers.cpp
+++ b/tools/gateway_soak/src/soak_callers.cpp
@@ -15,9 +15,8 @@
 
 namespace asio = boost::asio;
 
-/// Timeout and resubmission as callers of the deployments have them.
+/// Resubmission as callers of the deployments have it.
 constexpr milliseconds resubmission_pause{1'300};
-constexpr milliseconds caller_timeout{2'500};
 constexpr int max_submissions = 3;
 
 } // namespace
@@ -34,8 +33,8 @@
         {
             auto const result = co_await owner.client_->call(
                 address.ip, address.port,
-                test_support::make_job_request(id, tasks, caller_timeout),
-                steady_clock::now() + caller_timeout);
+                test_support::make_job_request(id, tasks, owner.timeout_),
+                steady_clock::now() + owner.timeout_);
             refused_only = refused_only && is_refused(result);
             if (result && result->status != 502)
             {
@@ -64,8 +63,9 @@
     }
 };
 
-soak_callers::soak_callers(test_support::network_thread& network)
-    : network_(network)
+soak_callers::soak_callers(test_support::network_thread& network,
+                           milliseconds timeout)
+    : network_(network), timeout_(timeout)
 {
     network_.run(
         [this]
--- a/tools/gateway_soak/src/soak_callers.hpp
+++ b/tools/gateway_soak/src/soak_callers.hpp
@@ -15,6 +15,10 @@
 namespace masticshift::gateway_soak
 {
 
+/// How long callers wait for an answer.
+inline constexpr milliseconds caller_timeout{2'500};
+inline constexpr milliseconds short_caller_timeout{1'500};
+
 /// Counts of submitted jobs and of the answers to them.
 struct caller_report
 {
@@ -36,7 +40,7 @@
 class soak_callers
 {
 public:
-    explicit soak_callers(test_support::network_thread& network);
+    soak_callers(test_support::network_thread& network, milliseconds timeout);
     ~soak_callers();
 
     /// Submits a job with this number of tasks to a gateway. After a lost
@@ -59,6 +63,7 @@
                 bool refused_only);
 
     test_support::network_thread& network_;
+    milliseconds timeout_;
     std::unique_ptr<transport::http_client> client_;
     std::atomic<std::size_t> open_{0};
     mutable std::mutex mutex_;
--- a/tools/gateway_soak/src/soak_fault.cpp
+++ b/tools/gateway_soak/src/soak_fault.cpp
@@ -17,7 +17,7 @@
     "lost_orders",           "late_orders",          "failed_runs",
     "silent_endpoint",       "restarted_endpoint",   "draining_endpoint",
     "new_configuration",     "refuse_endpoint_link", "reset_endpoint_link",
-    "one_way_endpoint_link", "held_orders"};
+    "one_way_endpoint_link", "held_orders",          "hold_peer_link"};
 
 constexpr auto first_endpoint_link_fault =
     static_cast<std::size_t>(fault_kind::refuse_endpoint_link);
@@ -62,6 +62,9 @@
             reset_endpoint_link,  reset_endpoint_link,  one_way_endpoint_link,
             held_orders,          held_orders,          restarted_endpoint,
             late_orders,          kill_gateway,         pause_gateway};
+    case fault_set::abandoned_jobs:
+        return {hold_peer_link, hold_peer_link, hold_peer_link, pause_gateway,
+                pause_gateway,  cut_peer_link,  kill_gateway};
     }
     return {};
 }
--- a/tools/gateway_soak/src/soak_fault.hpp
+++ b/tools/gateway_soak/src/soak_fault.hpp
@@ -35,10 +35,11 @@
     refuse_endpoint_link,
     reset_endpoint_link,
     one_way_endpoint_link,
-    held_orders
+    held_orders,
+    hold_peer_link
 };
 
-constexpr std::size_t fault_kinds = 23;
+constexpr std::size_t fault_kinds = 24;
 
 /// Which kinds of faults a run draws from.
 enum class fault_set
@@ -46,6 +47,7 @@
     all,
     handovers,
     links,
+    abandoned_jobs,
     /// The kinds before `refuse_endpoint_link`: some regression seeds were
     /// recorded with them.
     first
@@ -67,7 +69,8 @@
 /// `handovers` has the faults that do not keep a gateway from reading the
 /// store, so that no endpoint may get new work long after its report that it
 /// drains. In `links`, links to endpoints that work on fail while endpoints
-/// restart under their ids and orders are held up.
+/// restart under their ids and orders are held up. In `abandoned_jobs`, jobs
+/// reach their dispatchers or entries after those who sent them have given up.
 std::vector<fault_kind> faults_of(fault_set set);
 
 /// Draws the faults of a run at random from these kinds, ordered by time.
--- a/tools/gateway_soak/src/soak_run.cpp
+++ b/tools/gateway_soak/src/soak_run.cpp
@@ -28,6 +28,11 @@
 /// that is wrongly taken for ended is still at work when its task starts again.
 constexpr milliseconds long_run_time{200};
 constexpr std::size_t steps_per_submission = 3;
+
+/// Tasks of a run with `fault_set::abandoned_jobs`: they are at work when their
+/// callers submit them again.
+constexpr milliseconds abandoned_run_time{1'000};
+constexpr std::size_t steps_per_abandoned_job = 6;
 constexpr milliseconds start_time{2'000};
 
 /// Time in which drains end and callers get their last answers.
@@ -58,7 +63,9 @@
           random_(options.seed),
           platform_(std::make_unique<test_support::gateway_standin>(
               network_.executor(), options.seed)),
-          callers_(network_)
+          callers_(network_, options.faults == fault_set::abandoned_jobs
+                                 ? short_caller_timeout
+                                 : caller_timeout)
     {
         start_platform();
         for (std::size_t i = 0; i < options.gateways; ++i)
@@ -108,14 +115,42 @@
     }
 
 private:
-    bool has_long_tasks() const
+    milliseconds task_length() const
     {
-        return options_.faults == fault_set::links;
+        switch (options_.faults)
+        {
+        case fault_set::links:
+            return long_run_time;
+        case fault_set::abandoned_jobs:
+            return abandoned_run_time;
+        default:
+            return run_time;
+        }
     }
 
-    milliseconds task_length() const
+    std::size_t most_tasks() const
+    {
+        return options_.faults == fault_set::abandoned_jobs ? 1 : 4;
+    }
+
+    double speed_of(std::size_t endpoint) const
+    {
+        bool const slow =
+            endpoint % 4 == 0 && options_.faults != fault_set::abandoned_jobs;
+        return slow ? 0.5 : 1.0;
+    }
+
+    std::size_t submission_interval() const
     {
-        return has_long_tasks() ? long_run_time : run_time;
+        switch (options_.faults)
+        {
+        case fault_set::links:
+            return steps_per_submission;
+        case fault_set::abandoned_jobs:
+            return steps_per_abandoned_job;
+        default:
+            return 1;
+        }
     }
 
     static std::string data_centre(std::size_t number)
@@ -134,7 +169,7 @@
                 for (std::size_t i = 0; i < options_.endpoints; ++i)
                     platform_
                         ->add_endpoint(endpoint_name(i), data_centre(i),
-                                       i % 4 == 0 ? 0.5 : 1.0,
+                                       speed_of(i),
                                        clock_rates[i % clock_rates.size()])
                         .value();
             });
@@ -173,7 +208,7 @@
 
     void submit_random_jobs()
     {
-        if (has_long_tasks() && pick(steps_per_submission) != 0)
+        if (submission_interval() > 1 && pick(submission_interval()) != 0)
             return;
         for (std::size_t i = pick(3); i > 0; --i)
             submit();
@@ -182,8 +217,11 @@
     void submit()
     {
         auto const first_gateway = pick(gateways_.size());
-        auto const retry_gateway = pick(gateways_.size());
-        callers_.submit(++jobs_, 1 + static_cast<int>(pick(4)),
+        // The next gateway is in the other data centre, with other endpoints.
+        auto const retry_gateway = options_.faults == fault_set::abandoned_jobs
+                                       ? (first_gateway + 1) % gateways_.size()
+                                       : pick(gateways_.size());
+        callers_.submit(++jobs_, 1 + static_cast<int>(pick(most_tasks())),
                         gateways_[first_gateway]->caller_address(),
                         gateways_[retry_gateway]->caller_address());
     }
@@ -281,6 +319,9 @@
             target.peer_link().set_delay(milliseconds(30));
             set(target.peer_link(), link_state::delayed);
             return true;
+        case fault_kind::hold_peer_link:
+            set(target.peer_link(), link_state::held);
+            return true;
         case fault_kind::cut_store_link:
             set(target.store_link(), link_state::cut);
             return true;
@@ -401,11 +442,13 @@
 
     void check_recovery()
     {
+        auto const recovery_pause =
+            std::max(2 * step_interval, task_length() / 5);
         auto const before = callers_.report().completed;
         for (std::size_t i = 0; i < recovery_jobs; ++i)
         {
             submit();
-            std::this_thread::sleep_for(2 * step_interval);
+            std::this_thread::sleep_for(recovery_pause);
         }
         auto const end = steady_clock::now() + settle_time;
         while (callers_.open() > 0 && steady_clock::now() < end)
