The first failed list of any kind raises the token while a start may be in transit

Cause: only refused connections and answered lists raised the token. Lists whose responses are lost do arrive, and would have made the next process reject the start.

Change: the first list that fails without a word from the endpoint, since one was answered, raises the token there while a start may be in transit.

An order that arrives before our first list is not covered.

--- a/libs/dispatch/src/dispatcher.cpp
+++ b/libs/dispatch/src/dispatcher.cpp
@@ -14,6 +14,14 @@
 /// Progress is read from lists, which arrive at least every 200 ms.
 constexpr milliseconds progress_interval{50};
 
+/// Whether the response says nothing about the process of the endpoint.
+bool is_silence(order_response response)
+{
+    return response == order_response::connection_refused ||
+           response == order_response::not_sent ||
+           response == order_response::unanswered;
+}
+
 } // namespace
 
 dispatcher::impl::impl(dispatch_limits limits, std::int64_t token,
@@ -220,9 +228,10 @@
         return;
     decisions_.push_back(
         {"list_failed", {}, {}, endpoint, name_of(response), 0});
-    // The next process may get a start that is in transit before it is listed.
-    if (response == order_response::connection_refused &&
-        account->is_watched(now) && !account->is_refusing())
+    // The next process may get a start that is in transit before it is listed,
+    // and a list whose response is lost still makes it reject that start.
+    bool const first_failure = account->record_list_failure();
+    if (first_failure && is_silence(response) && account->is_watched(now))
         raise_token(*account);
     stop_starts_at(*account, response, now);
     if (response == order_response::outranked)
--- a/libs/dispatch/src/endpoint_account.cpp
+++ b/libs/dispatch/src/endpoint_account.cpp
@@ -313,6 +313,7 @@
 {
     list_changes changes;
     process_ended_ = false;
+    lists_fail_ = false;
     listed_address_ = order.address_number;
     changes.restarted = reset_if_restarted(list.started_ms, now);
     expired_.clear();
--- a/libs/dispatch/src/endpoint_account.hpp
+++ b/libs/dispatch/src/endpoint_account.hpp
@@ -13,6 +13,7 @@
 
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace masticshift::dispatch
@@ -232,10 +233,11 @@
     /// The link has refused a connection: nothing is placed until the endpoint
     /// has been listed again. Whether its process has ended is unknown.
     void record_connection_refused(time_point now);
-    /// Whether it has refused a connection since its last response.
-    bool is_refusing() const
+    /// A list has failed. Returns whether it is the first one since a list was
+    /// answered.
+    bool record_list_failure()
     {
-        return refused_since_.has_value();
+        return !std::exchange(lists_fail_, true);
     }
     /// The process of the endpoint has ended. No work is placed until the
     /// endpoint has been listed again.
@@ -320,6 +322,8 @@
     time_point last_call_failure_{};
     /// It is listed until then even if nothing runs there.
     time_point watched_until_{};
+    /// No list was answered since one has failed.
+    bool lists_fail_ = false;
     /// First refused connection since the last response.
     std::optional<time_point> refused_since_;
     trust_tracker health_;
--- a/libs/dispatch/tests/lost_orders_test.cpp
+++ b/libs/dispatch/tests/lost_orders_test.cpp
@@ -160,3 +160,44 @@
     f.tested.stop_answered(lost[0], order_response::unanswered, f.now);
     CHECK(f.tested.take_stops().size() == 1);
 }
+
+// Soak seed 5105 of --links: all lists got no response, but they arrived. The
+// next process of the endpoint carried out a start that had been held up.
+TEST_CASE("the first list that fails while a start may be in transit is "
+          "followed by lists with a higher token, whatever the failure")
+{
+    for (auto const failure :
+         {order_response::unanswered, order_response::not_sent,
+          order_response::connection_refused})
+    {
+        dispatcher_fixture f(1);
+        f.tested.submit(make_spec("a", 1), "home", f.now);
+        auto const starts = f.tested.take_starts();
+        REQUIRE(starts.size() == 1);
+        f.lose_start(starts[0]);
+        f.tested.list_failed("e0", failure, f.now);
+        auto const raised = f.tested.next_list("e0", f.now);
+        REQUIRE(raised);
+        CHECK(raised->token > starts[0].token);
+        f.advance(milliseconds(20));
+        f.tested.list_failed("e0", failure, f.now);
+        auto const next = f.tested.next_list("e0", f.now);
+        REQUIRE(next);
+        CHECK(next->token == raised->token);
+        // The response to this list is lost too.
+        auto& model = f.models.at("e0");
+        model.restart(2'000);
+        run_list list;
+        model.list(*next, f.clock(), list);
+        CHECK(model.start(starts[0], f.clock(), run_time, false) ==
+              order_response::outranked);
+    }
+}
+
+TEST_CASE("a list that fails while no start is in transit raises no token")
+{
+    dispatcher_fixture f(1);
+    auto const before = f.tested.token();
+    f.tested.list_failed("e0", order_response::unanswered, f.now);
+    CHECK(f.tested.token() == before);
+}
