Stand-in: the connections of an endpoint end when it restarts

They stayed open, so that a list that was waiting in the former process was answered by the next one, up to 200 ms late. A process that ends loses its connections. Orders that were held up still reach the next process, which is more than PROTOCOL.md says ("It may also be executed seconds later", of a call; "any other incarnation responds with 421"): the check stays as it is.

--- a/libs/test_support/src/standin_endpoint.cpp
+++ b/libs/test_support/src/standin_endpoint.cpp
@@ -58,7 +58,7 @@
 {
 }
 
-outcome<void> standin_endpoint::listen()
+outcome<void> standin_endpoint::listen(std::uint16_t port)
 {
     server_ = std::make_unique<transport::http_server>(
         executor_, transport::http_server_limits{},
@@ -67,7 +67,7 @@
             return handle(self.lock(), std::move(request));
         },
         make_error_response);
-    return server_->listen("127.0.0.1", 0);
+    return server_->listen("127.0.0.1", port);
 }
 
 std::int64_t standin_endpoint::clock_ms() const
@@ -117,6 +117,10 @@
     model_.restart(model_.record().started_ms + 1);
     clock_start_ = steady_clock::now();
     draining_since_.reset();
+    // The connections end with the process.
+    auto const port = server_->port();
+    server_->stop();
+    listen(port).value();
 }
 
 std::size_t standin_endpoint::runs_of(std::string const& task)
--- a/libs/test_support/src/standin_endpoint.hpp
+++ b/libs/test_support/src/standin_endpoint.hpp
@@ -44,7 +44,8 @@
                      dispatch::endpoint_record record, double speed,
                      double clock_rate);
 
-    outcome<void> listen();
+    /// Port 0 picks a free one.
+    outcome<void> listen(std::uint16_t port = 0);
 
     /// Its address and port.
     std::string address() const;
