Read a job's clock reading before the job is moved from

The field kept its value after the move, so that nothing was seen at run time; the cases of unwanted_submission_test cover it before and after.

--- a/libs/gateway/src/peer_exchange.cpp
+++ b/libs/gateway/src/peer_exchange.cpp
@@ -5,6 +5,7 @@
 #include <core/log.hpp>
 
 #include <algorithm>
+#include <optional>
 
 namespace masticshift::gateway
 {
@@ -213,19 +214,17 @@
         co_return refuse(origin.error());
     }
     auto const cell = call.cell;
+    std::optional<dispatch::clock_reading> reading;
+    if (call.__isset.last_reading)
+        reading = from_wire(call.last_reading);
     auto job = from_wire(std::move(call));
     if (!job)
         co_return refuse(job.error());
     auto const now = steady_clock::now();
-    auto sent_after = now;
-    if (call.__isset.last_reading)
-    {
-        auto const reading = from_wire(call.last_reading);
-        if (refuses_as_outdated(*job, *origin, reading, now))
-            co_return reply_to_job(
-                {dispatch::job_end::refused, dispatch::end_reason::outdated});
-        sent_after = time_point(reading.time);
-    }
+    if (reading && refuses_as_outdated(*job, *origin, *reading, now))
+        co_return reply_to_job(
+            {dispatch::job_end::refused, dispatch::end_reason::outdated});
+    auto const sent_after = reading ? time_point(reading->time) : now;
     if (!state_.roster.record_job_from(*origin, sent_after, now))
         co_return refuse({result_code::peer_protocol,
                           "the entry that sent the job has ended"});
