A job is not refused while runs of its former submission go on

What callers could see: two runs of a task milliseconds apart, by dispatchers of two data centres.

Cause: a resubmission supersedes the open job of its id, whose runs are then being stopped. With no free capacity the dispatcher answered busy_cell, or not_dispatcher while it retires, or overloaded: 'not run'. Its entry sends the job to another dispatcher at once, which starts the tasks beside the runs that end. It needs an entry that has not seen the end of its first caller's connection.

A job with live runs here now waits for them, and a refusal of it is 'unknown', which callers answer with a resubmission after 1,300 ms.

--- a/libs/dispatch/src/dispatcher_impl.hpp
+++ b/libs/dispatch/src/dispatcher_impl.hpp
@@ -74,6 +74,8 @@
     void finish(job_ptr const& job, job_result result, time_point now);
     void record_completed(std::string const& id, time_point now);
     bool was_completed(std::string const& id) const;
+    /// Whether tasks of the job may be running, also for a former submission.
+    bool has_live_runs(tracked_job const& job) const;
     void check_waiting(time_point now);
     void check_deadlines(time_point now);
 
--- a/libs/dispatch/src/dispatcher_jobs.cpp
+++ b/libs/dispatch/src/dispatcher_jobs.cpp
@@ -70,6 +70,15 @@
     return completed_ids_.contains(id);
 }
 
+bool dispatcher::impl::has_live_runs(tracked_job const& job) const
+{
+    return std::ranges::any_of(job.tasks,
+                               [&](auto const& task)
+                               {
+                                   return live_runs_.contains(task.name);
+                               });
+}
+
 void dispatcher::impl::submit(job_spec spec, std::string origin, time_point now)
 {
     if (was_completed(spec.id))
@@ -107,7 +116,8 @@
         finish(job, {job_end::refused, end_reason::not_dispatcher}, now);
         return;
     }
-    if (job->spec.only_if_idle &&
+    // Elsewhere it would start beside its former runs.
+    if (job->spec.only_if_idle && !has_live_runs(*job) &&
         !can_start_all(*job, idle_finish_by(*job, now), now))
     {
         finish(job, {job_end::refused, end_reason::busy_cell}, now);
@@ -242,7 +252,9 @@
         jobs_.erase(known);
     if (result.end == job_end::completed)
         record_completed(job->spec.id, now);
-    if (result.end == job_end::refused && job->start_ordered)
+    // A refused job may be sent to another dispatcher at once.
+    if (result.end == job_end::refused &&
+        (job->start_ordered || has_live_runs(*job)))
         result.end = job_end::unknown;
     for (auto const& task : job->tasks)
     {
