The runs of a job end before its caller submits it again

What callers could see: two runs of a task, started by dispatchers of two data centres, the first one over 1,300 ms after the caller's end.

Cause: the time from a caller's end to the end of the last run was a sum over four files that nothing added up. Withdrawals were tried for 300 ms and followed by a silence that the dispatcher noticed 450 ms later; a lease of 714 ms followed: 1,464 ms. And heartbeats counted from their arrival: one that was held up, or that a paused dispatcher read late, kept the jobs of an entry that had gone.

- A heartbeat carries the newest reading of the receiver's clock that its entry has.
The jobs of the entry are wanted for 450 ms after that reading (origin_watch), however late the heartbeat arrives.
Responses to heartbeats keep no jobs.
- It carries the withdrawals that its receiver has not acknowledged (withdrawal_list), in place of the tries and the silence, which are gone: a heartbeat that arrives has withdrawn them, one that does not lets the job end.
- Logs: jobs_of_lost_peer_cancelled has the age of the reading and whether the peer is alive otherwise, withdrawals_acknowledged how long a withdrawal took.

--- a/libs/dispatch/include/dispatch/limits.hpp
+++ b/libs/dispatch/include/dispatch/limits.hpp
@@ -3,8 +3,6 @@
 
 #include <core/time.hpp>
 
-#include <algorithm>
-
 namespace masticshift::dispatch
 {
 
@@ -18,18 +16,6 @@
     double remote_factor = 1;
 };
 
-/// Length of the leases where an endpoint grants them for up to `granted`
-/// (`bounds.hold_max_ms`).
-///
-/// The runs of an entry that has died are renewed for up to 550 ms. Also one
-/// that no stop reaches must have ended, on a clock that is 2 % slow, when the
-/// caller submits its job again, 1,300 ms after its connection broke.
-constexpr milliseconds lease_within(milliseconds granted)
-{
-    constexpr milliseconds longest_useful{700};
-    return std::min(granted, longest_useful);
-}
-
 } // namespace masticshift::dispatch
 
 #endif
--- a/libs/dispatch/include/dispatch/peer_roster.hpp
+++ b/libs/dispatch/include/dispatch/peer_roster.hpp
@@ -3,8 +3,10 @@
 
 #include <core/time.hpp>
 #include <dispatch/claim_relay.hpp>
+#include <dispatch/origin_watch.hpp>
 #include <dispatch/peer_liveness.hpp>
 #include <dispatch/peer_types.hpp>
+#include <dispatch/withdrawal_list.hpp>
 
 #include <cstdint>
 #include <map>
@@ -126,17 +128,28 @@
     /// Records a token that this entry uses, so that `next_token` is higher.
     void record_token(std::int64_t token);
 
-    /// Whether the entry is alive, and has been without interruption from
-    /// `since` on.
-    bool is_alive_since(entry_identity const& entry, time_point since,
-                        time_point now) const;
+    /// Whether the entry is alive and still wants a job that it has sent to
+    /// this one after `sent_after`.
+    bool wants_job(entry_identity const& entry, time_point sent_after,
+                   time_point now) const;
 
-    /// While this entry has withdrawn jobs from a dispatcher that does not
-    /// answer it, it exchanges no heartbeats with it: the dispatcher then
-    /// cancels the jobs. The calls are counted.
-    void begin_silence(std::string const& dispatcher);
-    void end_silence(std::string const& dispatcher);
-    bool is_silent_to(std::string const& dispatcher) const;
+    /// What other entries say of the jobs that they have sent to this one.
+    origin_watch const& origins() const
+    {
+        return origins_;
+    }
+
+    /// Jobs that this entry has withdrawn from dispatchers. Heartbeats carry
+    /// them.
+    withdrawal_list& withdrawals()
+    {
+        return withdrawals_;
+    }
+
+    withdrawal_list const& withdrawals() const
+    {
+        return withdrawals_;
+    }
 
     /// Whether this process was paused lately: other entries may have acted
     /// meanwhile without this one having received it.
@@ -235,19 +248,21 @@
     std::size_t data_centres_before(std::string const& cell,
                                     std::string const& data_centre,
                                     time_point now) const;
+    void record_origin(entry_heartbeat const& heartbeat, time_point now);
     entry_heartbeat own_heartbeat(time_point now) const;
     std::vector<relayed_claim> claims_to_relay(std::string const& receiver,
                                                time_point now) const;
 
     entry_identity self_;
     time_point started_;
-    std::map<std::string, int> silences_;
     bool leaving_ = false;
     std::vector<dispatch_claim> claims_;
     std::int64_t configuration_version_ = 0;
     std::int64_t highest_token_ = 0;
     std::int64_t token_step_ = 1;
     peer_liveness liveness_;
+    origin_watch origins_;
+    withdrawal_list withdrawals_;
     claim_relay relay_;
     /// By address: the data centre, or an empty string.
     std::map<std::string, std::string> candidates_;
--- a/libs/dispatch/include/dispatch/peer_types.hpp
+++ b/libs/dispatch/include/dispatch/peer_types.hpp
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -71,6 +72,18 @@
     milliseconds age{0};
 };
 
+/// A job that an entry has withdrawn from a dispatcher.
+struct job_withdrawal
+{
+    std::string job;
+    std::string cell;
+    /// The last submission of the job that is withdrawn.
+    std::int64_t submission = 0;
+
+    friend bool operator==(job_withdrawal const&,
+                           job_withdrawal const&) = default;
+};
+
 /// The message that entries exchange several times a second.
 struct entry_heartbeat
 {
@@ -88,6 +101,12 @@
     std::vector<relayed_claim> relayed;
     /// The sender's steady clock when it made the heartbeat.
     milliseconds clock{0};
+    /// The receiver's newest clock reading that the sender has. The sender's
+    /// jobs were wanted at that time, but for `withdrawals`. Incarnation 0: the
+    /// heartbeat says nothing about jobs. Empty: an entry of an earlier build.
+    std::optional<clock_reading> last_reading;
+    /// Withdrawals that the receiver has not acknowledged.
+    std::vector<job_withdrawal> withdrawals;
 };
 
 } // namespace masticshift::dispatch
--- a/libs/dispatch/include/dispatch/submission_guard.hpp
+++ b/libs/dispatch/include/dispatch/submission_guard.hpp
@@ -3,6 +3,7 @@
 
 #include <core/time.hpp>
 #include <dispatch/peer_types.hpp>
+#include <dispatch/resubmission_bounds.hpp>
 
 #include <cstdint>
 #include <deque>
@@ -24,17 +25,17 @@
 {
 public:
     /// An entry gives up a connection after this time without a response.
-    static constexpr milliseconds longest_age{450};
+    static constexpr milliseconds longest_age = longest_vouch;
 
-    /// The limit for an entry that sends no heartbeats yet: its first one has
-    /// to arrive before the entry counts as dead, 450 ms after the reading.
+    /// The limit for an entry that sends no heartbeats yet: its first one with
+    /// a newer reading has to arrive within `longest_vouch`.
     static constexpr milliseconds longest_first_age{200};
 
     /// Whether a submission that carries this reading of the clock of `self` is
-    /// too old to be taken, or may be. `origin_alive`: heartbeats of its entry
-    /// arrive.
+    /// too old to be taken, or may be. `origin_current`: heartbeats of its
+    /// entry arrive in time.
     static bool is_outdated(clock_reading const& last_reading,
-                            entry_identity const& self, bool origin_alive,
+                            entry_identity const& self, bool origin_current,
                             time_point now);
 
     /// Remembers the withdrawal of a submission and of earlier ones of the same
--- a/libs/dispatch/src/endpoint_account.cpp
+++ b/libs/dispatch/src/endpoint_account.cpp
@@ -1,5 +1,7 @@
 #include "endpoint_account.hpp"
 
+#include <dispatch/resubmission_bounds.hpp>
+
 #include <algorithm>
 #include <array>
 #include <set>
@@ -11,11 +13,6 @@
 namespace
 {
 
-/// An endpoint that has not responded for this long gets no new work, and its
-/// leases are no longer renewed. Two and a half times the longest wait of a
-/// list, so that one lost response is not enough.
-constexpr milliseconds unresponsive_after{500};
-
 /// Longest wait of a list while no run has to be stopped. Less than a third of
 /// the lease, so that two renewals in a row may fail.
 constexpr milliseconds max_list_wait{200};
--- a/libs/dispatch/src/peer_roster.cpp
+++ b/libs/dispatch/src/peer_roster.cpp
@@ -56,6 +56,7 @@
     if (!liveness_.record_heartbeat(heartbeat, now))
         return;
     record_clock(address, {heartbeat.sender.incarnation, heartbeat.clock});
+    record_origin(heartbeat, now);
     relay_.record(heartbeat.relayed, now);
     tried_.insert(address);
     for (auto const& claim : heartbeat.claims)
@@ -64,6 +65,17 @@
         highest_token_ = std::max(highest_token_, each.claim.token);
 }
 
+void peer_roster::record_origin(entry_heartbeat const& heartbeat,
+                                time_point now)
+{
+    auto const& reading = heartbeat.last_reading;
+    if (!reading)
+        origins_.record(heartbeat.sender, now, now);
+    else if (reading->incarnation == self_.incarnation &&
+             reading->time <= reading_at(now))
+        origins_.record(heartbeat.sender, time_point(reading->time), now);
+}
+
 bool peer_roster::record_job_from(entry_identity const& origin,
                                   time_point sent_after, time_point now)
 {
@@ -233,30 +245,12 @@
     highest_token_ = std::max(highest_token_, token);
 }
 
-bool peer_roster::is_alive_since(entry_identity const& entry, time_point since,
-                                 time_point now) const
-{
-    if (!is_alive(entry, now))
-        return false;
-    auto const* const known = liveness_.find(entry.address);
-    return known == nullptr || known->alive_since <= since;
-}
-
-void peer_roster::begin_silence(std::string const& dispatcher)
+bool peer_roster::wants_job(entry_identity const& entry, time_point sent_after,
+                            time_point now) const
 {
-    ++silences_[dispatcher];
-}
-
-void peer_roster::end_silence(std::string const& dispatcher)
-{
-    auto const found = silences_.find(dispatcher);
-    if (found != silences_.end() && --found->second == 0)
-        silences_.erase(found);
-}
-
-bool peer_roster::is_silent_to(std::string const& dispatcher) const
-{
-    return silences_.contains(dispatcher);
+    if (entry.address == self_.address)
+        return entry.incarnation == self_.incarnation;
+    return is_alive(entry, now) && origins_.wants_job(entry, sent_after, now);
 }
 
 bool peer_roster::was_paused(time_point now) const
@@ -302,6 +296,10 @@
 {
     auto heartbeat = own_heartbeat(now);
     heartbeat.is_periodic = periodic_.contains(address);
+    heartbeat.withdrawals = withdrawals_.open(address);
+    heartbeat.last_reading = withdrawals_.fits_heartbeat(address)
+                                 ? last_reading(address)
+                                 : clock_reading{};
     auto const* const known = liveness_.find(address);
     bool const local_dispatcher =
         known != nullptr && !known->heartbeat.claims.empty() &&
@@ -316,6 +314,8 @@
 {
     auto response = own_heartbeat(now);
     response.is_periodic = periodic_.contains(heartbeat.sender.address);
+    // The ends of callers' connections may not have been read yet.
+    response.last_reading = clock_reading{};
     if (heartbeat.wants_claims)
         response.relayed = claims_to_relay(heartbeat.sender.address, now);
     return response;
--- a/libs/dispatch/src/peer_roster_targets.cpp
+++ b/libs/dispatch/src/peer_roster_targets.cpp
@@ -165,6 +165,8 @@
                   });
     for (auto const& [address, dependency] : dependencies_)
         chosen.insert(address);
+    for (auto& address : withdrawals_.dispatchers())
+        chosen.insert(std::move(address));
 }
 
 void peer_roster::add_successors(std::set<std::string>& chosen, time_point now)
--- a/libs/dispatch/src/submission_guard.cpp
+++ b/libs/dispatch/src/submission_guard.cpp
@@ -7,13 +7,13 @@
 
 bool submission_guard::is_outdated(clock_reading const& last_reading,
                                    entry_identity const& self,
-                                   bool origin_alive, time_point now)
+                                   bool origin_current, time_point now)
 {
     if (last_reading.incarnation != self.incarnation)
         return true;
     auto const age = reading_at(now) - last_reading.time;
     return age < milliseconds(0) ||
-           age >= (origin_alive ? longest_age : longest_first_age);
+           age >= (origin_current ? longest_age : longest_first_age);
 }
 
 void submission_guard::record_withdrawal(std::string const& origin,
--- a/libs/dispatch/tests/lost_caller_test.cpp
+++ b/libs/dispatch/tests/lost_caller_test.cpp
@@ -2,6 +2,8 @@
 
 #include "dispatcher_fixture.hpp"
 
+#include <dispatch/resubmission_bounds.hpp>
+
 using namespace masticshift;
 using namespace masticshift::dispatch;
 using namespace masticshift::dispatch::testing;
--- a/libs/gateway/src/cell_manager.cpp
+++ b/libs/gateway/src/cell_manager.cpp
@@ -239,7 +239,8 @@
 
 asio::awaitable<dispatch::job_result>
 cell_manager::run_job(std::string const& cell, dispatch::job_spec job,
-                      dispatch::entry_identity const& origin)
+                      dispatch::entry_identity const& origin,
+                      time_point sent_after)
 {
     if (submissions_.is_withdrawn(origin_name(origin), job.id, job.submission,
                                   steady_clock::now()))
@@ -257,7 +258,7 @@
         co_return dispatch::job_result{dispatch::job_end::refused,
                                        dispatch::end_reason::not_dispatcher};
     co_return co_await cell_runner::run_job(found->second, std::move(job),
-                                            origin);
+                                            origin, sent_after);
 }
 
 void cell_manager::withdraw(std::string const& cell, std::string const& id,
--- a/libs/gateway/src/cell_manager.hpp
+++ b/libs/gateway/src/cell_manager.hpp
@@ -33,10 +33,11 @@
         on_records_needed_ = std::move(function);
     }
 
-    /// Dispatches a job in a cell and waits until it has ended.
+    /// Dispatches a job in a cell and waits until it has ended. The job was not
+    /// sent before `sent_after`.
     asio::awaitable<dispatch::job_result>
     run_job(std::string const& cell, dispatch::job_spec job,
-            dispatch::entry_identity const& origin);
+            dispatch::entry_identity const& origin, time_point sent_after);
 
     /// Withdraws this submission of a job and earlier ones by the same origin.
     /// Those that arrive later are refused.
--- a/libs/gateway/src/cell_runner.cpp
+++ b/libs/gateway/src/cell_runner.cpp
@@ -4,6 +4,7 @@
 #include "peer_wire.hpp"
 
 #include <core/log.hpp>
+#include <dispatch/resubmission_bounds.hpp>
 
 #include <chrono>
 
@@ -24,9 +25,6 @@
 /// orders with the first one have arrived before the second.
 constexpr milliseconds token_advance_interval{300};
 
-/// How often to look for jobs whose entry no longer sends heartbeats.
-constexpr milliseconds origin_check_interval{50};
-
 /// A longer time between two steps means that the process was paused.
 constexpr milliseconds longest_step{300};
 
@@ -308,7 +306,7 @@
 
 asio::awaitable<dispatch::job_result>
 cell_runner::run_job(self_ptr self, dispatch::job_spec job,
-                     dispatch::entry_identity origin)
+                     dispatch::entry_identity origin, time_point sent_after)
 {
     auto const now = steady_clock::now();
     // It may have been sent before the pause, and be withdrawn by now.
@@ -316,8 +314,8 @@
         co_return dispatch::job_result{dispatch::job_end::refused,
                                        dispatch::end_reason::not_dispatcher};
     job_key const key{job.id, origin_name(origin)};
-    auto const waiting = std::make_shared<waiting_job>(self->executor_, origin,
-                                                       job.submission, now);
+    auto const waiting = std::make_shared<waiting_job>(
+        self->executor_, origin, job.submission, sent_after);
     auto const earlier = self->waiting_.find(key);
     if (earlier != self->waiting_.end())
     {
@@ -352,21 +350,25 @@
 
 void cell_runner::cancel_jobs_of_lost_origins(time_point now)
 {
-    if (now - origins_checked_ < origin_check_interval)
+    if (now - origins_checked_ < dispatch::origin_check_interval)
         return;
     origins_checked_ = now;
-    std::set<std::string> lost;
+    std::map<std::string, dispatch::entry_identity> lost;
     for (auto const& [key, job] : waiting_)
     {
         if (!job->result && !lost.contains(key.second) &&
-            !state_.roster.is_alive_since(job->origin, job->submitted, now))
-            lost.insert(key.second);
+            !state_.roster.wants_job(job->origin, job->sent_after, now))
+            lost.emplace(key.second, job->origin);
     }
-    for (auto const& origin : lost)
+    for (auto const& [name, origin] : lost)
     {
+        auto const age = state_.roster.origins().age(origin, now);
         log_event(log_level::info, "jobs_of_lost_peer_cancelled",
-                  {{"cell", cell_}, {"peer", origin}});
-        dispatcher_->cancel_jobs_of_origin(origin, now);
+                  {{"cell", cell_},
+                   {"peer", name},
+                   {"alive", state_.roster.is_alive(origin, now)},
+                   {"reading_age_ms", age ? to_milliseconds(*age) : -1}});
+        dispatcher_->cancel_jobs_of_origin(name, now);
     }
     flush();
 }
--- a/libs/gateway/src/cell_runner.hpp
+++ b/libs/gateway/src/cell_runner.hpp
@@ -32,10 +32,11 @@
     /// Does the work that is due at this time. Called periodically.
     void step(time_point now);
 
-    /// Dispatches a job and waits until it has ended.
+    /// Dispatches a job that was not sent before `sent_after`, and waits until
+    /// it has ended.
     static asio::awaitable<dispatch::job_result>
     run_job(std::shared_ptr<cell_runner> self, dispatch::job_spec job,
-            dispatch::entry_identity origin);
+            dispatch::entry_identity origin, time_point sent_after);
 
     /// Withdraws a job, unless its origin has submitted it again since.
     void withdraw(std::string const& id, dispatch::entry_identity const& origin,
@@ -77,18 +78,18 @@
     {
         waiting_job(asio::any_io_executor const& executor,
                     dispatch::entry_identity from, std::int64_t number,
-                    time_point now)
+                    time_point sent)
             : ended(executor, asio::steady_timer::time_point::max()),
               origin(std::move(from)),
               submission(number),
-              submitted(now)
+              sent_after(sent)
         {
         }
 
         asio::steady_timer ended;
         dispatch::entry_identity origin;
         std::int64_t submission;
-        time_point submitted;
+        time_point sent_after;
         std::optional<dispatch::job_result> result;
     };
 
--- a/libs/gateway/src/endpoint_io.cpp
+++ b/libs/gateway/src/endpoint_io.cpp
@@ -51,8 +51,8 @@
         auto const found = self->watch_timers_.find(endpoint);
         if (found == self->watch_timers_.end() || found->second != wake)
             co_return;
-        auto const order =
-            self->dispatcher_->next_list(endpoint, steady_clock::now());
+        auto const now = steady_clock::now();
+        auto const order = self->dispatcher_->next_list(endpoint, now);
         auto wait = idle_pause;
         if (order)
         {
--- a/libs/gateway/src/job_service.cpp
+++ b/libs/gateway/src/job_service.cpp
@@ -34,15 +34,9 @@
 /// time for its response to arrive.
 constexpr milliseconds answer_margin{500};
 
-/// A withdrawal is sent again until there is a response: the runs have to be
-/// stopped before the caller submits the job again, after 1,300 ms.
-constexpr int withdrawal_tries = 30;
+/// A withdrawal without a response in this time is left to the heartbeats.
 constexpr milliseconds withdrawal_timeout{150};
 
-/// After this many tries without a response, this entry becomes silent to the
-/// dispatcher, which then cancels its jobs within 500 ms.
-constexpr int tries_before_silence = 2;
-
 } // namespace
 
 struct job_service::submission
@@ -236,7 +230,8 @@
     auto const& self = state_.roster.self();
     job->job.submission = ++last_submission_;
     if (job->dispatcher == self.address)
-        co_return co_await cell_manager_.run_job(job->cell, job->job, self);
+        co_return co_await cell_manager_.run_job(job->cell, job->job, self,
+                                                 steady_clock::now());
     auto content = to_wire(job->job, self);
     content.cell = job->cell;
     content.__set_last_reading(
@@ -293,42 +288,37 @@
         cell_manager_.withdraw(job->cell, job->job.id, state_.roster.self(),
                                job->job.submission);
     else
-        asio::co_spawn(cell_manager_.executor(), send_withdrawal(*this, job),
-                       asio::detached);
+        begin_withdrawal(*job);
 }
 
-asio::awaitable<void> job_service::send_withdrawal(job_service& self,
-                                                   submission_ptr job)
+void job_service::begin_withdrawal(submission const& job)
+{
+    dispatch::job_withdrawal withdrawal{job.job.id, job.cell,
+                                        job.job.submission};
+    state_.roster.withdrawals().add(job.dispatcher, withdrawal,
+                                    steady_clock::now());
+    asio::co_spawn(
+        cell_manager_.executor(),
+        send_withdrawal(*this, job.dispatcher, std::move(withdrawal)),
+        asio::detached);
+}
+
+asio::awaitable<void>
+job_service::send_withdrawal(job_service& self, std::string dispatcher,
+                             dispatch::job_withdrawal withdrawal)
 {
-    auto const dispatcher = job->dispatcher;
     wire::withdraw_job content;
-    content.id = job->job.id;
-    content.cell = job->cell;
+    content.id = withdrawal.job;
+    content.cell = withdrawal.cell;
     content.origin = to_wire(self.state_.roster.self());
-    content.submission = job->job.submission;
-    bool silent = false;
-    bool answered = false;
-    for (int tried = 0; tried < withdrawal_tries && !answered; ++tried)
-    {
-        if (tried == tries_before_silence)
-        {
-            self.state_.roster.begin_silence(dispatcher);
-            silent = true;
-        }
-        auto message = peer_link::make_message(content);
-        auto const until = steady_clock::now() + withdrawal_timeout;
-        auto const result = co_await call_peer(self.peers_, dispatcher,
-                                               std::move(message), until);
-        answered = result.has_value();
-        if (!answered && steady_clock::now() < until)
-            co_await pause(until - steady_clock::now());
-    }
-    if (silent)
-        self.state_.roster.end_silence(dispatcher);
-    if (answered)
-        co_return;
-    log_event(log_level::warning, "withdrawal_unanswered",
-              {{"job", content.id}, {"dispatcher", dispatcher}});
+    content.submission = withdrawal.submission;
+    auto message = peer_link::make_message(std::move(content));
+    auto const result =
+        co_await call_peer(self.peers_, dispatcher, std::move(message),
+                           steady_clock::now() + withdrawal_timeout);
+    if (result)
+        self.state_.roster.withdrawals().acknowledge(dispatcher, {withdrawal},
+                                                     steady_clock::now());
 }
 
 } // namespace masticshift::gateway
--- a/libs/gateway/src/job_service.hpp
+++ b/libs/gateway/src/job_service.hpp
@@ -52,9 +52,12 @@
     /// Whether the caller still waits for the answer.
     bool is_wanted(submission& job);
     void handle_caller_gone(submission_ptr const& job);
-    static asio::awaitable<void> send_withdrawal(job_service& self,
-                                                 submission_ptr job);
     void withdraw(submission_ptr const& job);
+    /// Withdraws a job from another entry.
+    void begin_withdrawal(submission const& job);
+    static asio::awaitable<void>
+    send_withdrawal(job_service& self, std::string dispatcher,
+                    dispatch::job_withdrawal withdrawal);
     transport::http_response reject(transport::http_response response,
                                     platform::caller_request const& call,
                                     result_code reason,
--- a/libs/gateway/src/peer_exchange.cpp
+++ b/libs/gateway/src/peer_exchange.cpp
@@ -49,27 +49,34 @@
         state_.roster.add_candidate(config::to_string(seed));
     for (;;)
     {
-        for (auto const& peer : state_.roster.targets(steady_clock::now()))
-        {
-            if (state_.roster.is_silent_to(peer))
-                continue;
+        auto const now = steady_clock::now();
+        log_unanswered_withdrawals(now);
+        for (auto const& peer : state_.roster.targets(now))
             asio::co_spawn(executor, send_heartbeat(*this, peer),
                            asio::detached);
-        }
         co_await pause(heartbeat_interval);
     }
 }
 
+void peer_exchange::log_unanswered_withdrawals(time_point now)
+{
+    for (auto const& each : state_.roster.withdrawals().take_expired(now))
+        log_event(
+            log_level::warning, "withdrawal_unanswered",
+            {{"job", each.withdrawal.job}, {"dispatcher", each.dispatcher}});
+}
+
 asio::awaitable<void> peer_exchange::send_heartbeat(peer_exchange& self,
                                                     std::string peer)
 {
     auto const now = steady_clock::now();
-    auto message = peer_link::make_message(
-        to_wire(self.state_.roster.heartbeat_to(peer, now)));
+    auto const heartbeat = self.state_.roster.heartbeat_to(peer, now);
+    auto message = peer_link::make_message(to_wire(heartbeat));
     auto const result = co_await call_peer(
         self.peers_, peer, std::move(message), now + heartbeat_timeout);
     if (result)
     {
+        self.acknowledge(peer, heartbeat.withdrawals);
         self.refused_connections_.erase(peer);
         auto const beat = decode_heartbeat(result->pulse_answer.beat);
         if (beat)
@@ -86,6 +93,19 @@
         self.state_.roster.record_connection_refused(peer);
 }
 
+void peer_exchange::acknowledge(
+    std::string const& peer,
+    std::vector<dispatch::job_withdrawal> const& received)
+{
+    auto const longest = state_.roster.withdrawals().acknowledge(
+        peer, received, steady_clock::now());
+    if (longest > duration(0))
+        log_event(log_level::info, "withdrawals_acknowledged",
+                  {{"dispatcher", peer},
+                   {"withdrawals", received.size()},
+                   {"ms", to_milliseconds(longest)}});
+}
+
 void peer_exchange::log_refused(failure const& reason)
 {
     // Heartbeats come ten times a second.
@@ -164,9 +184,9 @@
             co_return refuse(heartbeat.error());
         }
         refused_connections_.erase(heartbeat->sender.address);
-        if (state_.roster.is_silent_to(heartbeat->sender.address))
-            co_return refuse({result_code::overloaded,
-                              "a withdrawal of a job was not answered"});
+        for (auto const& each : heartbeat->withdrawals)
+            cell_manager_.withdraw(each.cell, each.job, heartbeat->sender,
+                                   each.submission);
         state_.roster.record_heartbeat(*heartbeat, now);
         wire::pulse_reply reply;
         reply.beat = to_wire(state_.roster.response_to(*heartbeat, now));
@@ -228,8 +248,8 @@
     if (!state_.roster.record_job_from(*origin, sent_after, now))
         co_return refuse({result_code::peer_protocol,
                           "the entry that sent the job has ended"});
-    co_return reply_to_job(
-        co_await cell_manager_.run_job(cell, std::move(*job), *origin));
+    co_return reply_to_job(co_await cell_manager_.run_job(cell, std::move(*job),
+                                                          *origin, sent_after));
 }
 
 bool peer_exchange::refuses_as_outdated(dispatch::job_spec const& job,
@@ -238,8 +258,8 @@
                                         time_point now)
 {
     auto const& self = state_.roster.self();
-    bool const alive = state_.roster.is_alive(origin, now);
-    if (!dispatch::submission_guard::is_outdated(last, self, alive, now))
+    bool const current = state_.roster.origins().is_current(origin, now);
+    if (!dispatch::submission_guard::is_outdated(last, self, current, now))
         return false;
     auto const age = dispatch::reading_at(now) - last.time;
     log_event(log_level::info, "submission_refused",
--- a/libs/gateway/src/peer_exchange.hpp
+++ b/libs/gateway/src/peer_exchange.hpp
@@ -46,6 +46,10 @@
     wire::message reply_to_job(dispatch::job_result const& result) const;
     asio::awaitable<wire::message> handle_relay_call(wire::relay_read call);
     asio::awaitable<bool> read_directory();
+    /// Drops withdrawals that a dispatcher has received with a heartbeat.
+    void acknowledge(std::string const& peer,
+                     std::vector<dispatch::job_withdrawal> const& received);
+    void log_unanswered_withdrawals(time_point now);
     void log_refused(failure const& reason);
     std::string row_key() const;
 
--- a/libs/gateway/src/peer_wire.cpp
+++ b/libs/gateway/src/peer_wire.cpp
@@ -169,6 +169,16 @@
     converted.is_periodic = heartbeat.is_periodic;
     converted.wants_claims = heartbeat.wants_claims;
     converted.clock_ms = heartbeat.clock.count();
+    if (heartbeat.last_reading)
+        converted.__set_last_reading(to_wire(*heartbeat.last_reading));
+    for (auto const& each : heartbeat.withdrawals)
+    {
+        wire::withdrawn_job row;
+        row.id = each.job;
+        row.cell = each.cell;
+        row.submission = each.submission;
+        converted.withdrawals.push_back(std::move(row));
+    }
     for (auto const& each : heartbeat.relayed)
     {
         wire::relayed_claim row;
@@ -194,6 +204,10 @@
     converted.is_periodic = pulse.is_periodic;
     converted.wants_claims = pulse.wants_claims;
     converted.clock = clock_from_wire(pulse.clock_ms);
+    if (pulse.__isset.last_reading)
+        converted.last_reading = from_wire(pulse.last_reading);
+    for (auto const& row : pulse.withdrawals)
+        converted.withdrawals.push_back({row.id, row.cell, row.submission});
     for (auto const& row : pulse.relayed)
         converted.relayed.push_back({from_wire(row.holder),
                                      from_wire(row.claim),
--- a/libs/gateway/tests/peer_wire_test.cpp
+++ b/libs/gateway/tests/peer_wire_test.cpp
@@ -63,8 +63,15 @@
     claim.backlog = milliseconds(30);
     heartbeat.relayed.push_back(
         {{"10.0.0.2:7720", 8, "north", 500}, claim, milliseconds(40)});
+    CHECK_FALSE(from_wire(to_wire(heartbeat)).last_reading.has_value());
+    heartbeat.last_reading = dispatch::clock_reading{9, milliseconds(50)};
+    heartbeat.withdrawals.push_back({"0123456789abcdef", "north/0/1", 3});
     auto const decoded = from_wire(to_wire(heartbeat));
     CHECK(decoded.sender == heartbeat.sender);
+    REQUIRE(decoded.last_reading.has_value());
+    CHECK(decoded.last_reading->incarnation == 9);
+    CHECK(decoded.last_reading->time == milliseconds(50));
+    CHECK(decoded.withdrawals == heartbeat.withdrawals);
     CHECK(decoded.is_periodic);
     CHECK(decoded.wants_claims);
     REQUIRE(decoded.relayed.size() == 1);
--- a/libs/gateway/tests/unwanted_submission_test.cpp
+++ b/libs/gateway/tests/unwanted_submission_test.cpp
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <thread>
+#include <vector>
 
 using namespace masticshift;
 using masticshift::gateway::deployment;
@@ -20,6 +21,7 @@
 
 constexpr auto cell = "north/0/1";
 constexpr milliseconds call_timeout{2'000};
+constexpr milliseconds long_run{1'500};
 
 /// One gateway with endpoints, and another entry that the test plays.
 class two_entries
@@ -137,6 +139,31 @@
         return last_reading_;
     }
 
+    /// Sends heartbeats with this reading of the gateway's clock for some time.
+    void beat_for(milliseconds length, wire::clock_reading const& reading,
+                  std::vector<wire::withdrawn_job> const& withdrawals = {})
+    {
+        auto const end = steady_clock::now() + length;
+        while (steady_clock::now() < end)
+        {
+            wire::pulse beat;
+            beat.sender = origin();
+            beat.__set_last_reading(reading);
+            beat.withdrawals = withdrawals;
+            call(peer_link::make_message(std::move(beat)));
+            fixture_.run(milliseconds(50));
+        }
+    }
+
+    static wire::withdrawn_job make_withdrawal(std::int64_t submission)
+    {
+        wire::withdrawn_job withdrawal;
+        withdrawal.id = id;
+        withdrawal.cell = cell;
+        withdrawal.submission = submission;
+        return withdrawal;
+    }
+
 private:
     static constexpr auto id = "00000000000000aa";
 
@@ -256,6 +283,40 @@
     CHECK(tested.end_submit(running).end == dispatch::job_end::completed);
 }
 
+// Heartbeats that were held up kept the jobs of an entry that had gone.
+TEST_CASE("a job whose entry's heartbeats carry no new clock reading is ended")
+{
+    two_entries tested;
+    tested.fixture().platform().configure(2, long_run);
+    auto job = tested.make_job(1);
+    job.steps[0].estimate_ms = long_run.count();
+    auto const reading = job.last_reading;
+    auto const running = tested.begin_submit(job);
+    tested.beat_for(milliseconds(300), reading);
+    CHECK_FALSE(running->has_value());
+    CHECK(tested.starts() == 1);
+    tested.beat_for(milliseconds(300), reading);
+    REQUIRE(running->has_value());
+    CHECK(tested.end_submit(running).reason == dispatch::end_reason::withdrawn);
+}
+
+TEST_CASE("a withdrawal that comes with a heartbeat ends the job, and a later "
+          "submission is taken")
+{
+    two_entries tested;
+    tested.fixture().platform().configure(2, long_run);
+    auto job = tested.make_job(1);
+    job.steps[0].estimate_ms = long_run.count();
+    auto const reading = job.last_reading;
+    auto const running = tested.begin_submit(job);
+    tested.beat_for(milliseconds(50), reading, {tested.make_withdrawal(1)});
+    REQUIRE(running->has_value());
+    CHECK(tested.end_submit(running).reason == dispatch::end_reason::withdrawn);
+    tested.fixture().platform().configure(3, milliseconds(40));
+    CHECK(tested.submit(tested.make_job(2)).end ==
+          dispatch::job_end::completed);
+}
+
 // After a pause the requests of callers that had gone were dispatched before
 // the ends of their connections were noticed.
 TEST_CASE("an entry that was paused starts nothing for callers that have gone")
--- a/libs/peer_link/idl/masticshift.thrift
+++ b/libs/peer_link/idl/masticshift.thrift
@@ -208,6 +208,15 @@
   3: i64 age_ms
 }
 
+// A job that the sender has withdrawn from the receiver, without an
+// acknowledgement so far.
+struct withdrawn_job {
+  1: string id
+  2: string cell
+  // The last submission of the job that is withdrawn.
+  3: i64 submission
+}
+
 // Heartbeat of an entry that serves callers of the platform.
 struct pulse {
   1: entry_record sender
@@ -225,6 +234,11 @@
   9: list<relayed_claim> relayed
   // The sender's steady clock when it made this heartbeat.
   10: i64 clock_ms
+  // The receiver's newest clock reading that the sender has: its jobs were wanted
+  // at that time. Incarnation 0 if this message says nothing about them. Absent
+  // from entries that do not know it.
+  11: optional clock_reading last_reading
+  12: list<withdrawn_job> withdrawals
 }
 
 struct pulse_reply {
