A late entry asks for its callers before it says that their jobs are wanted

Cause: the end of a caller's connection is read in the order of the event loop. A late loop sent heartbeats, and a dispatcher renewed leases, before it had read these ends, and a dispatcher whose step was late renewed for entries that had gone.

A heartbeat that is over 20 ms late, and a renewal whose step is over 100 ms late, come after a question to the operating system which callers are still connected (caller_watch). Each renewal comes after the check for jobs whose entries have gone.

caller_watch_test holds the first; the order of check and renewal is played in resubmission_test. That a gateway does so is read, not tested with a late process.

--- a/libs/gateway/src/cell_runner.cpp
+++ b/libs/gateway/src/cell_runner.cpp
@@ -25,6 +25,9 @@
 /// orders with the first one have arrived before the second.
 constexpr milliseconds token_advance_interval{300};
 
+/// A longer time between two steps means that the event loop is late.
+constexpr milliseconds longest_punctual_step{100};
+
 /// A longer time between two steps means that the process was paused.
 constexpr milliseconds longest_step{300};
 
@@ -378,6 +381,14 @@
     if (!is_resuming(now))
         return;
     origins_checked_ = {};
+    drop_unwanted_jobs(now);
+}
+
+void cell_runner::drop_unwanted_jobs(time_point now)
+{
+    // `step` follows more often than this.
+    if (now - stepped_ > longest_punctual_step)
+        state_.callers.ask_if_late(now - stepped_, now);
     cancel_jobs_of_lost_origins(now);
 }
 
--- a/libs/gateway/src/endpoint_io.cpp
+++ b/libs/gateway/src/endpoint_io.cpp
@@ -52,6 +52,7 @@
         if (found == self->watch_timers_.end() || found->second != wake)
             co_return;
         auto const now = steady_clock::now();
+        self->drop_unwanted_jobs(now);
         auto const order = self->dispatcher_->next_list(endpoint, now);
         auto wait = idle_pause;
         if (order)
--- a/libs/gateway/src/gateway_state.hpp
+++ b/libs/gateway/src/gateway_state.hpp
@@ -1,6 +1,7 @@
 #ifndef MASTICSHIFT_GATEWAY_GATEWAY_STATE_HPP
 #define MASTICSHIFT_GATEWAY_GATEWAY_STATE_HPP
 
+#include "caller_watch.hpp"
 #include "gateway_metrics.hpp"
 #include "input_delay.hpp"
 
@@ -36,6 +37,7 @@
     /// peers.
     std::unordered_map<std::string, double> learnt_speeds;
     input_delay input;
+    caller_watch callers;
     /// Whether this entry drains.
     bool leaving = false;
     gateway_metrics metrics;
--- a/libs/gateway/src/job_service.cpp
+++ b/libs/gateway/src/job_service.cpp
@@ -140,6 +140,7 @@
     job->job = std::move(*decoded);
     job->accepted = steady_clock::now();
     job->caller = request.caller;
+    state_.callers.add(request.caller);
     if (request.caller)
         request.caller->on_disconnect(
             [this, job]
--- a/libs/gateway/src/peer_exchange.cpp
+++ b/libs/gateway/src/peer_exchange.cpp
@@ -47,13 +47,16 @@
     auto const executor = co_await asio::this_coro::executor;
     for (auto const& seed : state_.settings.seeds)
         state_.roster.add_candidate(config::to_string(seed));
+    auto due = steady_clock::now();
     for (;;)
     {
         auto const now = steady_clock::now();
+        state_.callers.ask_if_late(now - due, now);
         log_unanswered_withdrawals(now);
         for (auto const& peer : state_.roster.targets(now))
             asio::co_spawn(executor, send_heartbeat(*this, peer),
                            asio::detached);
+        due = steady_clock::now() + heartbeat_interval;
         co_await pause(heartbeat_interval);
     }
 }
