A lease is no longer than asked for where an endpoint's clock was read long ago

What callers could see: two runs of a task, where the first one started on an endpoint that had been idle, its entry died and no stop arrived.

Cause: the end of a lease was reckoned from the last reading of the endpoint's clock as if that clock ran true. It may run 2 % slow, and an idle endpoint is not listed: after half a minute the lease was 600 ms longer, up to what the endpoint grants (1,000 ms). Callers submit again after 1,300 ms; 450 ms, 50 ms and 1,020 ms are more.

--- a/libs/dispatch/include/dispatch/resubmission_bounds.hpp
+++ b/libs/dispatch/include/dispatch/resubmission_bounds.hpp
@@ -40,22 +40,17 @@
 /// An endpoint's clock may run 2 % slow.
 constexpr int slowest_clock_percent = 98;
 
-/// Longest time in which a lease ends that is asked for by a reading of the
-/// endpoint's clock of up to `reading_age`.
-constexpr milliseconds longest_lease_time(milliseconds length,
-                                          milliseconds reading_age)
+/// Longest time in which a lease of this length ends.
+constexpr milliseconds longest_lease_time(milliseconds length)
 {
     constexpr int percent = 100;
-    auto const on_endpoint =
-        length * percent + reading_age * (percent - slowest_clock_percent);
-    return (on_endpoint + milliseconds(slowest_clock_percent - 1)) /
+    return (length * percent + milliseconds(slowest_clock_percent - 1)) /
            slowest_clock_percent;
 }
 
 constexpr milliseconds longest_overrun =
     caller_link_delay + longest_loop_delay + longest_vouch +
-    origin_check_interval +
-    longest_lease_time(longest_useful_lease, unresponsive_after);
+    origin_check_interval + longest_lease_time(longest_useful_lease);
 
 static_assert(longest_overrun < resubmission_delay,
               "two submissions of a job could run at once");
--- a/libs/dispatch/src/dispatcher.cpp
+++ b/libs/dispatch/src/dispatcher.cpp
@@ -197,7 +197,7 @@
     account->record_acknowledged(order.acknowledged_end);
     auto changes = account->apply_list(list, order, sent, now);
     account->record_response(now);
-    account->record_clock(endpoint_clock, now);
+    account->record_clock(endpoint_clock, now, sent);
     if (changes.restarted)
         raise_token(*account);
     if (changes.restarted && !account->record_matches_process())
--- a/libs/dispatch/src/endpoint_account.cpp
+++ b/libs/dispatch/src/endpoint_account.cpp
@@ -344,9 +344,10 @@
 }
 
 void endpoint_account::record_clock(std::int64_t endpoint_ms,
-                                    time_point received)
+                                    time_point received,
+                                    std::optional<time_point> sent)
 {
-    clock_.observe(endpoint_ms, received);
+    clock_.observe(endpoint_ms, received, sent);
 }
 
 void endpoint_account::record_response(time_point now)
--- a/libs/dispatch/src/endpoint_account.hpp
+++ b/libs/dispatch/src/endpoint_account.hpp
@@ -218,7 +218,9 @@
     /// All ends up to this number have been acknowledged to the endpoint.
     void record_acknowledged(std::int64_t number);
 
-    void record_clock(std::int64_t endpoint_ms, time_point received);
+    /// `sent`: when the call was sent, if that is known.
+    void record_clock(std::int64_t endpoint_ms, time_point received,
+                      std::optional<time_point> sent = {});
     void record_response(time_point now);
     /// A call got no usable response.
     void record_call_failure(time_point now);
