The next claim of a cell outranks all tokens of the former one

What callers could see: two runs of a task after a dispatcher has died, while an endpoint is cut off and orders to it are held up.

Cause: a dispatcher raises its token when an endpoint may have restarted, and each raise counted like a new claim. A successor that had not heard of the last raises began with a lower token. A held-up order of the dead dispatcher then outranked it at a restarted endpoint, extended the lease there, or started a second run.

A raise leaves the claim's number as it is, so that the next claim, which counts from the claim that it knows, is higher than all of them.

The new case of peer_roster_test fails where a raise counts as a claim.

--- a/libs/dispatch/include/dispatch/dispatcher.hpp
+++ b/libs/dispatch/include/dispatch/dispatcher.hpp
@@ -72,7 +72,7 @@
     /// `token` must be higher than that of any earlier dispatcher of the
     /// endpoints.
     dispatcher(dispatch_limits limits, std::int64_t token,
-               token_source next_token = next_epoch);
+               token_source next_token = raised_token);
     ~dispatcher();
 
     dispatcher(dispatcher const&) = delete;
--- a/libs/dispatch/src/peer_roster.cpp
+++ b/libs/dispatch/src/peer_roster.cpp
@@ -16,8 +16,8 @@
 
 constexpr std::int64_t entry_mask = (std::int64_t(1) << token_entry_bits) - 1;
 
-/// Epochs count from 2026, so that tokens stay exact as JSON numbers (53 bits).
-constexpr std::int64_t first_epoch_second = 1'767'225'600;
+/// Claims count from 2026, so that tokens stay exact as JSON numbers (53 bits).
+constexpr std::int64_t first_claim_second = 1'767'225'600;
 
 milliseconds since(time_point earlier, time_point now)
 {
@@ -226,12 +226,12 @@
 
 std::int64_t peer_roster::next_token(std::int64_t unix_seconds) const
 {
-    auto const epoch =
-        std::max((highest_token_ >> token_entry_bits) + token_step_,
-                 std::max<std::int64_t>(unix_seconds - first_epoch_second, 1));
+    auto const claim =
+        std::max((highest_token_ >> token_claim_shift) + token_step_,
+                 std::max<std::int64_t>(unix_seconds - first_claim_second, 1));
     auto const entry =
         static_cast<std::int64_t>(stable_hash(self_.address)) & entry_mask;
-    return (epoch << token_entry_bits) | entry;
+    return (claim << token_claim_shift) | entry;
 }
 
 void peer_roster::record_unknown_token()
--- a/libs/dispatch/tests/interleaving_model.hpp
+++ b/libs/dispatch/tests/interleaving_model.hpp
@@ -322,9 +322,9 @@
         auto const seconds = std::chrono::duration_cast<std::chrono::seconds>(
                                  now_ - time_point{})
                                  .count();
-        auto const epoch = std::max<std::int64_t>(
-            (known >> token_entry_bits) + token_step, seconds);
-        return (epoch << token_entry_bits) | number;
+        auto const claim = std::max<std::int64_t>(
+            (known >> token_claim_shift) + token_step, seconds);
+        return (claim << token_claim_shift) | number;
     }
 
     void start_dispatcher(std::size_t number)
--- a/libs/dispatch/tests/peer_roster_test.cpp
+++ b/libs/dispatch/tests/peer_roster_test.cpp
@@ -1,4 +1,5 @@
 #include <dispatch/peer_roster.hpp>
+#include <dispatch/token.hpp>
 
 #include <doctest/doctest.h>
 
@@ -111,6 +112,27 @@
     CHECK(other.next_token(later_second) != first);
 }
 
+// A held-up list of a dead dispatcher outranked its successor, which had not
+// heard of the last tokens, and extended leases that had been taken for ended.
+TEST_CASE("the next claim of a cell is above all raised tokens of the former "
+          "one, heard of or not")
+{
+    constexpr std::int64_t second = 1'800'000'000;
+    peer_roster former(make_entry("10.0.0.1:1"), start);
+    auto const claimed = former.next_token(second);
+    peer_roster next(make_entry("10.0.0.2:1"), start);
+    next.record_heartbeat(
+        make_heartbeat(make_entry("10.0.0.1:1"), make_claim(claimed, 1)),
+        after_discovery);
+    auto raised = claimed;
+    for (int i = 0; i < 100; ++i)
+    {
+        CHECK(raised_token(raised) > raised);
+        raised = raised_token(raised);
+    }
+    CHECK(next.next_token(second) > raised);
+}
+
 TEST_CASE("a new incarnation ends the former one")
 {
     peer_roster tested(make_entry("10.0.0.1:1"), start);
--- a/libs/gateway/src/cell_runner.cpp
+++ b/libs/gateway/src/cell_runner.cpp
@@ -94,7 +94,9 @@
     if (state_.roster.was_paused(now) ||
         state_.roster.has_other_dispatcher(cell_, now))
         return current;
-    return new_token(state_.roster);
+    auto const raised = dispatch::raised_token(current);
+    state_.roster.record_token(raised);
+    return raised;
 }
 
 void cell_runner::step(time_point now)
