A repeated start extends no lease while a run there has to be stopped

What callers could see: two runs of a task, where the entry of the first one has died and its stop is lost, while a start of another job on that endpoint gets no responses.

Cause: a lease covers all runs of an endpoint, and is renewed only while all are wanted. Lists obeyed that, repeated starts asked only for their own run.

A repetition carries the lease of the order before while a run there is unwanted. The new case of lost_caller_test failed before.

--- a/libs/dispatch/src/dispatcher_placement.cpp
+++ b/libs/dispatch/src/dispatcher_placement.cpp
@@ -351,7 +351,7 @@
     }
     // The endpoint starts a run once, however often it is told to.
     starts_.push_back({account.record().id, key, run.job->spec.payload,
-                       account.extend_start(run, now), account.token()});
+                       account.repeat_start(run, now), account.token()});
 }
 
 void dispatcher::impl::start_answered(
--- a/libs/dispatch/src/endpoint_account.cpp
+++ b/libs/dispatch/src/endpoint_account.cpp
@@ -175,6 +175,14 @@
     return until;
 }
 
+std::int64_t endpoint_account::repeat_start(placed_run& run, time_point now)
+{
+    if (all_wanted())
+        return extend_start(run, now);
+    run.token = token_;
+    return run.lease_until;
+}
+
 std::int64_t endpoint_account::extend_start(placed_run& run, time_point now)
 {
     run.lease_until = clock_.lease_end(now, limits_.longest_lease);
--- a/libs/dispatch/src/endpoint_account.hpp
+++ b/libs/dispatch/src/endpoint_account.hpp
@@ -201,9 +201,10 @@
     /// Adds a new run and returns the end of its lease.
     std::int64_t add_run(run_key const& key, placed_run run, time_point now);
 
-    /// Returns the end of the lease for another start order of this run.
-    /// Sets its token too.
-    std::int64_t extend_start(placed_run& run, time_point now);
+    /// Returns the end of the lease for another start order of this run, and
+    /// sets its token. As a lease covers all runs of the endpoint, it is not
+    /// extended while one of them has to be stopped.
+    std::int64_t repeat_start(placed_run& run, time_point now);
 
     /// The next list order, or nothing if none is needed: nothing runs there,
     /// its ends have been acknowledged and no start order may be in transit, or
@@ -283,6 +284,7 @@
     milliseconds wait_for_end(time_point now) const;
     void apply_active(active_run const& seen, time_point sent, time_point now,
                       list_changes& changes);
+    std::int64_t extend_start(placed_run& run, time_point now);
     void record_lease(std::int64_t lease_until);
     /// Marks the runs as lost with the process, whose end was found at `now`.
     /// An endpoint that drains ends as planned, and has not crashed.
--- a/libs/dispatch/tests/lost_caller_test.cpp
+++ b/libs/dispatch/tests/lost_caller_test.cpp
@@ -62,6 +62,30 @@
     CHECK(f.tested.runs() == 0);
 }
 
+// Each repetition renewed the lease of a run whose stop had been lost.
+TEST_CASE("a start that is repeated extends no lease while another run there "
+          "has to be stopped")
+{
+    dispatcher_fixture f(1, {lease_within(milliseconds(1'000)), 1});
+    start_long_run(f);
+    f.tested.submit(make_spec("b", 1), "alive", f.now);
+    auto const first = f.tested.take_starts();
+    REQUIRE(first.size() == 1);
+    f.now += milliseconds(25);
+    f.tested.start_answered(first[0], order_response::unanswered, std::nullopt,
+                            f.now);
+    auto const second = f.tested.take_starts();
+    REQUIRE(second.size() == 1);
+    CHECK(second[0].lease_until > first[0].lease_until);
+    f.tested.cancel_jobs_of_origin("home", f.now);
+    f.now += milliseconds(25);
+    f.tested.start_answered(second[0], order_response::unanswered, std::nullopt,
+                            f.now);
+    auto const third = f.tested.take_starts();
+    REQUIRE(third.size() == 1);
+    CHECK(third[0].lease_until == second[0].lease_until);
+}
+
 TEST_CASE("a job that arrives after its caller's timeout starts nothing")
 {
     dispatcher_fixture f(1);
