Jobs of entries that have gone are cancelled before any start renews a lease

What callers could see: two runs of a task, where the first one shares an endpoint with a job that starts while its dispatcher is late.

Cause: a start renews the lease of all runs on its endpoint. The look at the entries came before lists only; a dispatcher that had stood still for less than the 300 ms that count as a pause took a job, and renewed the runs of an entry that had gone.

The look comes before a submission is taken, and before each response and withdrawal is used. The model's order follows; that of the gateway is read, not tested.

--- a/libs/dispatch/tests/resubmission_model.hpp
+++ b/libs/dispatch/tests/resubmission_model.hpp
@@ -668,6 +668,8 @@
                                   now_) ||
             now_ - by.stepped > paused_step)
             return;
+        if (!faults_.former_heartbeats)
+            cancel_lost(by);
         record(sent.job, "accepted by " + by.address);
         auto spec = make_spec(sent.job, 1);
         spec.steps[0].estimate = long_run;
--- a/libs/gateway/src/cell_runner.cpp
+++ b/libs/gateway/src/cell_runner.cpp
@@ -318,6 +318,8 @@
     if (self->is_resuming(now))
         co_return dispatch::job_result{dispatch::job_end::refused,
                                        dispatch::end_reason::not_dispatcher};
+    // A start renews the lease of all runs on its endpoint.
+    self->drop_unwanted_jobs(now);
     job_key const key{job.id, origin_name(origin)};
     auto const waiting = std::make_shared<waiting_job>(
         self->executor_, origin, job.submission, sent_after);
@@ -380,9 +382,8 @@
 
 void cell_runner::catch_up_after_pause(time_point now)
 {
-    if (!is_resuming(now))
-        return;
-    origins_checked_ = {};
+    if (is_resuming(now))
+        origins_checked_ = {};
     drop_unwanted_jobs(now);
 }
 
--- a/libs/gateway/src/cell_runner.hpp
+++ b/libs/gateway/src/cell_runner.hpp
@@ -108,7 +108,7 @@
     /// To be called before the response to an order is used. After a pause,
     /// jobs may be unwanted: their runs must not be started again.
     void catch_up_after_pause(time_point now);
-    /// To be called before leases are renewed.
+    /// To be called before leases are renewed, by lists or by starts.
     void drop_unwanted_jobs(time_point now);
     /// Whether the process was paused and has made no step since.
     bool is_resuming(time_point now) const;
