A withdrawal is sent until it is acknowledged, also to earlier builds

A dispatcher of an earlier build answers heartbeats and does not read the withdrawals in them, so that its answer was taken for an acknowledgement, and the message by itself was sent once.

Only heartbeats of this build acknowledge withdrawals, and the message is sent every 150 ms until something does, as before.

--- a/libs/dispatch/include/dispatch/withdrawal_list.hpp
+++ b/libs/dispatch/include/dispatch/withdrawal_list.hpp
@@ -46,6 +46,9 @@
     /// The oldest ones, up to `most_in_heartbeat`.
     std::vector<job_withdrawal> open(std::string const& dispatcher) const;
 
+    bool contains(std::string const& dispatcher,
+                  job_withdrawal const& withdrawal) const;
+
     /// Whether `open` returns all of them.
     bool fits_heartbeat(std::string const& dispatcher) const;
 
--- a/libs/dispatch/src/withdrawal_list.cpp
+++ b/libs/dispatch/src/withdrawal_list.cpp
@@ -60,6 +60,15 @@
     return all;
 }
 
+bool withdrawal_list::contains(std::string const& dispatcher,
+                               job_withdrawal const& withdrawal) const
+{
+    auto const found = open_.find(dispatcher);
+    return found != open_.end() &&
+           std::ranges::find(found->second, withdrawal, &entry::withdrawal) !=
+               found->second.end();
+}
+
 bool withdrawal_list::fits_heartbeat(std::string const& dispatcher) const
 {
     auto const found = open_.find(dispatcher);
--- a/libs/dispatch/tests/origin_watch_test.cpp
+++ b/libs/dispatch/tests/origin_watch_test.cpp
@@ -154,6 +154,8 @@
     entry.withdrawals().add("d:1", {"job", "cell", 8}, now);
     CHECK(entry.withdrawals().acknowledge("d:1", {{"job", "cell", 7}}, now) ==
           interval);
+    CHECK_FALSE(entry.withdrawals().contains("d:1", {"job", "cell", 7}));
+    CHECK(entry.withdrawals().contains("d:1", {"job", "cell", 8}));
     auto const left = entry.heartbeat_to("d:1", now).withdrawals;
     REQUIRE(left.size() == 1);
     CHECK(left[0].submission == 8);
--- a/libs/gateway/src/job_service.cpp
+++ b/libs/gateway/src/job_service.cpp
@@ -34,7 +34,8 @@
 /// time for its response to arrive.
 constexpr milliseconds answer_margin{500};
 
-/// A withdrawal without a response in this time is left to the heartbeats.
+/// A withdrawal without a response in this time is sent again, unless a
+/// heartbeat has brought it meanwhile.
 constexpr milliseconds withdrawal_timeout{150};
 
 } // namespace
@@ -313,13 +314,18 @@
     content.cell = withdrawal.cell;
     content.origin = to_wire(self.state_.roster.self());
     content.submission = withdrawal.submission;
-    auto message = peer_link::make_message(std::move(content));
-    auto const result =
-        co_await call_peer(self.peers_, dispatcher, std::move(message),
-                           steady_clock::now() + withdrawal_timeout);
-    if (result)
-        self.state_.roster.withdrawals().acknowledge(dispatcher, {withdrawal},
-                                                     steady_clock::now());
+    auto& open = self.state_.roster.withdrawals();
+    while (open.contains(dispatcher, withdrawal))
+    {
+        auto const until = steady_clock::now() + withdrawal_timeout;
+        auto message = peer_link::make_message(content);
+        auto const result = co_await call_peer(self.peers_, dispatcher,
+                                               std::move(message), until);
+        if (result)
+            open.acknowledge(dispatcher, {withdrawal}, steady_clock::now());
+        else if (steady_clock::now() < until)
+            co_await pause(until - steady_clock::now());
+    }
 }
 
 } // namespace masticshift::gateway
--- a/libs/gateway/src/peer_exchange.cpp
+++ b/libs/gateway/src/peer_exchange.cpp
@@ -79,7 +79,9 @@
         self.peers_, peer, std::move(message), now + heartbeat_timeout);
     if (result)
     {
-        self.acknowledge(peer, heartbeat.withdrawals);
+        // An earlier build does not read withdrawals in heartbeats.
+        if (result->pulse_answer.beat.__isset.last_reading)
+            self.acknowledge(peer, heartbeat.withdrawals);
         self.refused_connections_.erase(peer);
         auto const beat = decode_heartbeat(result->pulse_answer.beat);
         if (beat)
