--- a/libs/dispatch/tests/ended_process_test.cpp
+++ b/libs/dispatch/tests/ended_process_test.cpp
@@ -2,6 +2,10 @@
 
 #include "dispatcher_fixture.hpp"
 
+#include <dispatch/resubmission_bounds.hpp>
+
+#include <utility>
+
 using namespace masticshift;
 using namespace masticshift::dispatch;
 using namespace masticshift::dispatch::testing;
@@ -368,3 +372,44 @@
         }
     }
 }
+
+// The lease that the next process grants to a start counts by its own clock, up
+// to a second, and not by the clock that the start was meant for.
+TEST_CASE("a task whose start reached the next process of its endpoint runs "
+          "again only after the longest lease there")
+{
+    constexpr milliseconds long_run{4'000};
+    dispatcher_fixture f(2, {longest_useful_lease, 1});
+    f.tested.submit(make_spec("a", 1), "home", f.now);
+    auto pending = f.tested.take_starts();
+    REQUIRE(pending.size() == 1);
+    auto const first = pending[0].endpoint;
+    auto& next_process = f.models.at(first);
+    next_process.restart(50'000);
+    auto const begun = f.now;
+    auto const clock_of_next = [&]
+    {
+        return static_cast<std::int64_t>(to_milliseconds(f.now - begun));
+    };
+    REQUIRE(next_process.start(pending[0], clock_of_next(), long_run, false) ==
+            order_response::accepted);
+    // From now on nothing arrives there or comes back.
+    for (int i = 0; i < 50; ++i)
+    {
+        f.now += milliseconds(30);
+        for (auto const& order : std::exchange(pending, {}))
+            f.tested.start_answered(order, order_response::unanswered,
+                                    std::nullopt, f.now);
+        f.tested.list_failed(first, order_response::unanswered, f.now);
+        f.read(first == "e0" ? "e1" : "e0");
+        f.tested.tick(f.now);
+        f.tested.take_stops();
+        for (auto const& order : f.tested.take_starts())
+        {
+            if (order.endpoint == first)
+                pending.push_back(order);
+            else
+                CHECK(next_process.running_tasks(clock_of_next()).empty());
+        }
+    }
+}
