--- a/libs/dispatch/include/dispatch/lease_clock.hpp
+++ b/libs/dispatch/include/dispatch/lease_clock.hpp
@@ -46,7 +46,7 @@
     std::optional<observation> latest_;
     /// First observation, with the time at which its call was sent.
     std::optional<observation> first_;
-    /// The clock runs at least at this rate.
+    /// The clock runs at least at this rate, which does not change.
     double least_rate_ = slowest_rate;
 };
 
