--- a/libs/dispatch/src/withdrawal_list.cpp
+++ b/libs/dispatch/src/withdrawal_list.cpp
@@ -87,16 +87,17 @@
 withdrawal_list::take_expired(time_point now)
 {
     std::vector<unacknowledged> expired;
-    for (auto& [dispatcher, withdrawals] : open_)
+    for (auto& of_dispatcher : open_)
     {
-        std::erase_if(withdrawals,
-                      [&](entry const& each)
-                      {
-                          if (now - each.begun <= longest_open)
-                              return false;
-                          expired.push_back({dispatcher, each.withdrawal});
-                          return true;
-                      });
+        std::erase_if(
+            of_dispatcher.second,
+            [&](entry const& each)
+            {
+                if (now - each.begun <= longest_open)
+                    return false;
+                expired.push_back({of_dispatcher.first, each.withdrawal});
+                return true;
+            });
     }
     std::erase_if(open_,
                   [](auto const& each)
