--- a/libs/dispatch/include/dispatch/origin_watch.hpp
+++ b/libs/dispatch/include/dispatch/origin_watch.hpp
@@ -25,11 +25,11 @@
     void record(entry_identity const& origin, time_point wanted_at,
                 time_point now);
 
-    /// Whether the entry has said so lately.
+    /// Whether the last such time is recent enough for the jobs to be wanted.
     bool is_current(entry_identity const& origin, time_point now) const;
 
-    /// Whether a job that was sent after `sent_after` is wanted: its entry has
-    /// said so since, without interruption.
+    /// Whether a job that was sent after `sent_after` is wanted: since then its
+    /// entry has never been unheard for too long.
     bool wants_job(entry_identity const& origin, time_point sent_after,
                    time_point now) const;
 
@@ -42,7 +42,7 @@
     {
         std::int64_t incarnation = 0;
         time_point wanted_at{};
-        /// Since when the entry has said so without interruption.
+        /// Start of the present sequence of timely heartbeats.
         time_point unbroken_since{};
     };
 
--- a/libs/dispatch/include/dispatch/resubmission_bounds.hpp
+++ b/libs/dispatch/include/dispatch/resubmission_bounds.hpp
@@ -24,7 +24,7 @@
 /// A job is wanted for this long after the reading of the dispatcher's clock
 /// that the last heartbeat of its entry carried. Short enough to stop its runs
 /// before its caller submits it again.
-constexpr milliseconds longest_vouch{450};
+constexpr milliseconds longest_staleness{450};
 
 /// How often a dispatcher looks for jobs that are no longer wanted.
 constexpr milliseconds origin_check_interval{50};
@@ -48,11 +48,12 @@
            slowest_clock_percent;
 }
 
-constexpr milliseconds longest_overrun =
-    caller_link_delay + longest_loop_delay + longest_vouch +
+/// From the end of a caller's connection to the end of the last run.
+constexpr milliseconds longest_abandoned_run =
+    caller_link_delay + longest_loop_delay + longest_staleness +
     origin_check_interval + longest_lease_time(longest_useful_lease);
 
-static_assert(longest_overrun < resubmission_delay,
+static_assert(longest_abandoned_run < resubmission_delay,
               "two submissions of a job could run at once");
 
 /// Length of the leases where an endpoint grants them for up to `granted`
--- a/libs/dispatch/include/dispatch/submission_guard.hpp
+++ b/libs/dispatch/include/dispatch/submission_guard.hpp
@@ -25,10 +25,10 @@
 {
 public:
     /// An entry gives up a connection after this time without a response.
-    static constexpr milliseconds longest_age = longest_vouch;
+    static constexpr milliseconds longest_age = longest_staleness;
 
     /// The limit for an entry that sends no heartbeats yet: its first one with
-    /// a newer reading has to arrive within `longest_vouch`.
+    /// a newer reading has to arrive within `longest_staleness`.
     static constexpr milliseconds longest_first_age{200};
 
     /// Whether a submission that carries this reading of the clock of `self` is
--- a/libs/dispatch/src/origin_watch.cpp
+++ b/libs/dispatch/src/origin_watch.cpp
@@ -14,7 +14,7 @@
     if (known.incarnation > origin.incarnation)
         return;
     bool const interrupted = known.incarnation != origin.incarnation ||
-                             now - known.wanted_at > longest_vouch;
+                             now - known.wanted_at > longest_staleness;
     if (interrupted)
         known.unbroken_since = now;
     if (known.incarnation != origin.incarnation)
@@ -27,18 +27,18 @@
                               time_point now) const
 {
     auto const* const known = find(origin);
-    return known != nullptr && now - known->wanted_at <= longest_vouch;
+    return known != nullptr && now - known->wanted_at <= longest_staleness;
 }
 
 bool origin_watch::wants_job(entry_identity const& origin,
                              time_point sent_after, time_point now) const
 {
-    auto const wanted_until = sent_after + longest_vouch;
+    auto const wanted_until = sent_after + longest_staleness;
     if (now <= wanted_until)
         return true;
     auto const* const known = find(origin);
     return known != nullptr && known->unbroken_since <= wanted_until &&
-           now - known->wanted_at <= longest_vouch;
+           now - known->wanted_at <= longest_staleness;
 }
 
 std::optional<duration> origin_watch::age(entry_identity const& origin,
