--- a/review/standin-2/world_standin.cpp
+++ b/review/standin-2/world_standin.cpp
@@ -67,10 +67,11 @@
             values_[argv[i] + 2] = argv[i + 1];
     }
 
-    std::string text(std::string const& name, std::string fallback = {}) const
+    std::string text(std::string const& name,
+                     std::string const& fallback = {}) const
     {
         auto const found = values_.find(name);
-        return found == values_.end() ? std::move(fallback) : found->second;
+        return found == values_.end() ? fallback : found->second;
     }
 
     std::int64_t number(std::string const& name, std::int64_t fallback) const
