Review case 7: a task runs twice after an unnoticed restart of an idle worker

Tried: an idle worker crashes and starts again under its id, a job follows, and the link to the worker is cut after the start (review/7/run.sh). Seen: the task starts on another worker 170 ms before its lease on the first one ends: TWICE.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,59 +1,89 @@
 #!/usr/bin/env bash
-# Four callers submit a job of six steps each; one of them cancels its job.
-# Broken: a task of the cancelled job starts later than `cancel_ms` after the
-# response to the cancellation. TROUBLE=0: nobody cancels.
+# A worker crashes while it is idle and starts again under its id. A job is
+# submitted, its task starts on the new process, and the link to that worker is
+# cut. Broken: the task starts on another worker while it still runs there.
+# TROUBLE=0: no crash and no cut.
 set -euo pipefail
 folder="$(cd "$(dirname "$0")" && pwd)"
 cd "$folder/../.."
 source review/standin-2/deployment.sh
 
-readonly cancel_ms=3000
-readonly cancelled=00000000000007a1
+readonly down_s=1.5
+readonly cut_s=3
+readonly job=00000000000007b2
 
 start_store
-for worker in w1 w2 w3 w4; do
+take_port
+first_port="$port"
+take_port
+link_port="$port"
+"$world" proxy --port "$link_port" --to "127.0.0.1:$first_port" &
+link=$!
+processes+=("$link")
+start_worker w1 a "$first_port" z1 --address "127.0.0.1:$link_port"
+first="$started"
+for worker in w2 w3 w4 w5 w6 w7 w8; do
     take_port
     start_worker "$worker" a "$port" z1
 done
 start_entry entry-1 z1
 first_front="$front"
 start_entry entry-2 z1 "$peer"
-sleep 4
+sleep 3
 
-callers=()
-for job in "$cancelled" 00000000000007a2 00000000000007a3 00000000000007a4; do
-    "$world" call --entry "$first_front" --id "$job" --steps 6 --ms 900 \
-        --timeout 12000 --record "$record" &
-    callers+=($!)
-    processes+=($!)
+# An idle deployment uses the first worker. Its speed is learnt.
+for number in 1 2 3; do
+    "$world" call --entry "$first_front" --id "00000000000007a$number" \
+        --ms 200 --record "$record" || true
 done
-sleep 0.4
+[ "$(grep -c "answered POST .*status=200" "$record")" = 3 ] ||
+    cannot_run "the jobs before the crash were not done"
+grep -q "start worker=w1 " "$record" || cannot_run "w1 was not used"
+sleep 1
 if [ "${TROUBLE:-1}" = 1 ]; then
-    "$world" call --method DELETE --entry "$first_front" --id "$cancelled" \
-        --timeout 4000 --record "$record" ||
-        cannot_run "the cancellation was not answered"
+    kill -KILL "$first"
+    wait "$first" 2>/dev/null || true
+    echo "$("$world" clock) crash worker=w1" >>"$record"
+    sleep "$down_s"
+    start_worker w1 a "$first_port" z1 --address "127.0.0.1:$link_port"
+    for _ in $(seq 500); do
+        [ "$(grep -c "registered worker=w1" "$record")" = 2 ] && break
+        sleep 0.01
+    done
 fi
-for caller in "${callers[@]}"; do
-    wait "$caller" || true
+"$world" call --entry "$first_front" --id "$job" --ms 1500 --timeout 6000 \
+    --record "$record" &
+caller=$!
+processes+=("$caller")
+for _ in $(seq 200); do
+    grep -q "start .*task=$job" "$record" && break
+    sleep 0.005
 done
-
-for job in 00000000000007a2 00000000000007a3 00000000000007a4; do
-    grep -q "answered POST job=$job status=200" "$record" ||
-        cannot_run "a job that nobody cancelled was not done"
-done
-if [ "${TROUBLE:-1}" != 1 ]; then
-    echo "held: nobody has cancelled" | tee -a "$record"
-    exit 0
+if [ "${TROUBLE:-1}" = 1 ]; then
+    kill -STOP "$link"
+    echo "$("$world" clock) cut worker=w1" >>"$record"
+    sleep "$cut_s"
+    kill -CONT "$link"
+    echo "$("$world" clock) healed worker=w1" >>"$record"
 fi
-grep -Eq "answered DELETE job=$cancelled status=(2..|410)" "$record" ||
-    cannot_run "the cancellation was not acknowledged"
-acknowledged="$(awk '/answered DELETE/ { print $1 }' "$record")"
-late="$(awk -v limit=$((acknowledged + cancel_ms)) -v job="$cancelled" \
-    '$2 == "start" && index($0, "task=" job) && $1 > limit' "$record")"
-if [ -n "$late" ]; then
-    echo "broken: acknowledged at $acknowledged, started later:" |
-        tee -a "$record"
-    echo "$late" | tee -a "$record"
+wait "$caller" || true
+sleep 1
+
+grep -q "answered POST job=$job status=200" "$record" ||
+    echo "note: the job was not answered with 200" >>"$record"
+twice="$(awk -v job="$job" '
+    index($0, "task=" job) == 0 { next }
+    { split($0, fields, "worker="); split(fields[2], name, " ") }
+    $2 == "start" {
+        for (other in running)
+            if (other != name[1])
+                print "started at " $1 " on " name[1] ", while it runs on " other
+        running[name[1]] = $1
+    }
+    $2 == "end" { delete running[name[1]] }' "$record")"
+if [ -n "$twice" ]; then
+    echo "broken: $twice" | tee -a "$record"
+    grep "task=$job" "$record"
     exit 1
 fi
-echo "held: no task was started later" | tee -a "$record"
+echo "held: no two runs at the same time" | tee -a "$record"
--- a/review/standin-2/deployment.sh
+++ b/review/standin-2/deployment.sh
@@ -51,10 +51,10 @@
     cannot_run "the store does not answer"
 }
 
-# start_worker ID KIND PORT ZONE; sets `started` to its process id.
+# start_worker ID KIND PORT ZONE [OPTION...]; sets `started` to its process id.
 start_worker() {
     "$world" worker --id "$1" --kind "$2" --port "$3" --zone "$4" \
-        --store "$store" --record "$record" &
+        --store "$store" --record "$record" "${@:5}" &
     started=$!
     processes+=("$started")
 }
--- a/review/standin-2/world_standin.cpp
+++ b/review/standin-2/world_standin.cpp
@@ -13,6 +13,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <condition_variable>
 #include <cstdint>
@@ -20,6 +21,7 @@
 #include <ctime>
 #include <iostream>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
@@ -384,7 +386,7 @@
         : record_(record),
           id_(given.text("id")),
           service_(given.text("service", "desk")),
-          address_("127.0.0.1:" + given.text("port")),
+          address_(given.text("address", "127.0.0.1:" + given.text("port"))),
           zone_(given.text("zone", "z1")),
           kind_(given.text("kind", "a")),
           store_(given.text("store"))
@@ -416,6 +418,20 @@
         return make_response(400, {});
     }
 
+    /// Ends runs when they are done or their lease has expired.
+    void watch_runs()
+    {
+        constexpr milliseconds interval(2);
+        for (;;)
+        {
+            {
+                std::lock_guard const lock(mutex_);
+                end_due_runs();
+            }
+            std::this_thread::sleep_for(interval);
+        }
+    }
+
     /// Writes its row in regular intervals.
     void keep_registered() const
     {
@@ -627,6 +643,12 @@
             self.keep_registered();
         })
         .detach();
+    std::thread(
+        [&]
+        {
+            self.watch_runs();
+        })
+        .detach();
     serve(static_cast<std::uint16_t>(given.number("port", 0)),
           [&](request const& received)
           {
@@ -699,6 +721,53 @@
     return answered ? 0 : 1;
 }
 
+/// Copies bytes until one of the two connections ends, and ends both.
+void pass_bytes(std::shared_ptr<tcp::socket> const& from,
+                std::shared_ptr<tcp::socket> const& to)
+{
+    std::thread(
+        [from, to]
+        {
+            std::array<char, 65'536> bytes{};
+            beast::error_code error;
+            from->set_option(tcp::no_delay(true), error);
+            while (!error)
+            {
+                auto const size = from->read_some(asio::buffer(bytes), error);
+                if (!error)
+                    asio::write(*to, asio::buffer(bytes.data(), size), error);
+            }
+            beast::error_code ignored;
+            from->shutdown(tcp::socket::shutdown_both, ignored);
+            to->shutdown(tcp::socket::shutdown_both, ignored);
+        })
+        .detach();
+}
+
+/// A link to `--to`. While the process is stopped, the link is silent.
+int run_proxy(options const& given)
+{
+    asio::io_context context;
+    tcp::endpoint const target(asio::ip::make_address("127.0.0.1"),
+                               port_of(given.text("to")));
+    tcp::acceptor acceptor(
+        context,
+        {asio::ip::make_address("127.0.0.1"),
+         static_cast<std::uint16_t>(given.number("port", 0))},
+        true);
+    for (;;)
+    {
+        auto const caller = std::make_shared<tcp::socket>(acceptor.accept());
+        auto const callee = std::make_shared<tcp::socket>(context);
+        beast::error_code failed;
+        callee->connect(target, failed);
+        if (failed)
+            continue;
+        pass_bytes(caller, callee);
+        pass_bytes(callee, caller);
+    }
+}
+
 /// Prints this many free ports of the loopback address.
 int run_ports(options const& given)
 {
@@ -737,6 +806,8 @@
         return run_configure(given);
     if (mode == "call")
         return run_call(given, record);
+    if (mode == "proxy")
+        return run_proxy(given);
     if (mode == "ready")
         return run_ready(given);
     if (mode == "ports")
@@ -746,8 +817,9 @@
         std::cout << steady_ms() << "\n";
         return 0;
     }
-    std::cerr << "usage: world_standin store|worker|configure|call|ready|ports|"
-                 "clock "
-                 "--name value ...\n";
+    std::cerr
+        << "usage: world_standin store|worker|configure|call|proxy|ready|ports|"
+           "clock "
+           "--name value ...\n";
     return 2;
 }
