--- a/review/standin-2/deployment.sh
+++ b/review/standin-2/deployment.sh
@@ -17,6 +17,8 @@
     rm -rf "$scratch"
 }
 trap end_all EXIT
+# A command that fails says nothing about the rule.
+trap 'exit 2' ERR
 
 cannot_run() {
     echo "the case could not run: $1" >&2
