--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -50,6 +50,8 @@
         [ "$(grep -c "registered worker=w1" "$record")" = 2 ] && break
         sleep 0.01
     done
+    [ "$(grep -c "registered worker=w1" "$record")" = 2 ] ||
+        cannot_run "the worker did not come back"
 fi
 "$world" call --entry "$first_front" --id "$job" --ms 1500 --timeout 6000 \
     --record "$record" &
