--- a/libs/dispatch/include/dispatch/dispatcher.hpp
+++ b/libs/dispatch/include/dispatch/dispatcher.hpp
@@ -41,6 +41,9 @@
     double value = 0;
     /// Empty for events without a reason.
     std::string_view reason;
+    /// Start time of the endpoint's process that the decision assumes, in Unix
+    /// milliseconds. 0 where the process is unknown or does not matter.
+    std::int64_t process_started_ms = 0;
 };
 
 /// State of one endpoint, for operators.
--- a/libs/dispatch/src/dispatcher.cpp
+++ b/libs/dispatch/src/dispatcher.cpp
@@ -72,6 +72,20 @@
                           name_of(reason)});
 }
 
+void dispatcher::impl::record_process(endpoint_account const& account,
+                                      std::string_view source,
+                                      std::int64_t started_ms)
+{
+    decisions_.push_back({"endpoint_process",
+                          {},
+                          {},
+                          account.record().id,
+                          source,
+                          static_cast<double>(account.runs().size()),
+                          {},
+                          started_ms});
+}
+
 void dispatcher::impl::record_process_ended(endpoint_account& account,
                                             std::string_view evidence)
 {
@@ -110,6 +124,7 @@
     {
         account->list_again();
         endpoints_to_poll_.insert(id);
+        record_process(*account, "recorded", record.started_ms);
     }
     account->update(std::move(record));
 }
@@ -198,6 +213,8 @@
     auto changes = account->apply_list(list, order, sent, now);
     account->record_response(now);
     account->record_clock(endpoint_clock, now, sent);
+    if (changes.new_process)
+        record_process(*account, "listed", account->process_started_ms());
     if (changes.restarted)
         raise_token(*account);
     if (changes.restarted && !account->record_matches_process())
--- a/libs/dispatch/src/dispatcher_impl.hpp
+++ b/libs/dispatch/src/dispatcher_impl.hpp
@@ -117,6 +117,9 @@
     /// whether its process has ended, until it has been listed again.
     static void stop_starts_at(endpoint_account& account,
                                order_response response, time_point now);
+    /// `source`: where the start time was read, a list or a record.
+    void record_process(endpoint_account const& account,
+                        std::string_view source, std::int64_t started_ms);
     void record_process_ended(endpoint_account& account,
                               std::string_view evidence);
     /// Makes the new process of an endpoint reject the orders that were meant
--- a/libs/dispatch/src/dispatcher_placement.cpp
+++ b/libs/dispatch/src/dispatcher_placement.cpp
@@ -161,6 +161,7 @@
     endpoints_to_poll_.insert(task.endpoint);
     record_decision("task_placed", *job, task.name, task.endpoint, "ordered",
                     to_milliseconds(place.expected));
+    decisions_.back().process_started_ms = place.endpoint->process_started_ms();
     return true;
 }
 
--- a/libs/dispatch/src/endpoint_account.cpp
+++ b/libs/dispatch/src/endpoint_account.cpp
@@ -288,7 +288,9 @@
     process_ended_ = false;
     lists_fail_ = false;
     listed_address_ = order.address_number;
+    auto const former_process = process_started_ms_;
     changes.restarted = reset_if_restarted(list.started_ms, now);
+    changes.new_process = process_started_ms_ != former_process;
     expired_.clear();
     // Until a complete list, runs of other dispatchers may be unknown here.
     if (link_ != endpoint_link::outranked && list.complete)
--- a/libs/dispatch/src/endpoint_account.hpp
+++ b/libs/dispatch/src/endpoint_account.hpp
@@ -90,6 +90,9 @@
     std::vector<run_key> foreign;
     /// Another process than before has answered.
     bool restarted = false;
+    /// The process that has answered was not listed before. True also for the
+    /// first list of an endpoint.
+    bool new_process = false;
 };
 
 enum class endpoint_link
@@ -176,6 +179,13 @@
     /// of its runs has to be stopped.
     bool takes_work() const;
 
+    /// Start time of the process that answered the last list, in Unix
+    /// milliseconds; 0 if it is unknown.
+    std::int64_t process_started_ms() const
+    {
+        return process_started_ms_;
+    }
+
     /// Whether the record is that of the process that answered the last list.
     /// Another process may have other labels and another capacity.
     bool record_matches_process() const;
--- a/libs/gateway/src/decision_log.cpp
+++ b/libs/gateway/src/decision_log.cpp
@@ -22,6 +22,8 @@
         fields["value"] = each.value;
         if (!each.reason.empty())
             fields["reason"] = each.reason;
+        if (each.process_started_ms != 0)
+            fields["process"] = each.process_started_ms;
         log_event(log_level::info, each.event, std::move(fields));
     }
 }
