A list renews leases and acknowledges ends only at the process that it assumes

After a restart of an endpoint the next list went over a new connection to the next process, with the end of a lease by the former clock and the number of the last end that the former process had listed. The next process extends what runs there for another dispatcher, and discards ends that nobody has received.

Such a list is sent only over a connection that is known to lead to the process. Otherwise one is sent that assumes nothing; its response identifies the connection, and the next list is complete again.

The stand-in went on with a list of the process before after its own restart, which hid the fault: such a call ends without a response now.

--- a/libs/dispatch/include/dispatch/endpoint_calls.hpp
+++ b/libs/dispatch/include/dispatch/endpoint_calls.hpp
@@ -64,6 +64,16 @@
     /// Number of the endpoint's address that it is sent to. Counts the changes
     /// of the record.
     int address_number = 0;
+    /// Start time of the process whose clock and numbers of ends the order
+    /// assumes; 0 if it assumes none. No other process must get it.
+    std::int64_t process_started_ms = 0;
+
+    /// The same order for any process: it renews no lease, acknowledges no end
+    /// and does not wait.
+    list_order for_any_process() const
+    {
+        return {token, 0, std::nullopt, milliseconds(0), address_number, 0};
+    }
 };
 
 /// Outcome of an order to an endpoint.
--- a/libs/dispatch/src/endpoint_account.cpp
+++ b/libs/dispatch/src/endpoint_account.cpp
@@ -168,8 +168,8 @@
 
 std::optional<list_order> endpoint_account::next_list(time_point now)
 {
-    list_order order{token_, seen_end_, std::nullopt, milliseconds(0),
-                     address_number_};
+    list_order order{token_,          seen_end_,       std::nullopt,
+                     milliseconds(0), address_number_, process_started_ms_};
     switch (link_)
     {
     case endpoint_link::outranked:
--- a/libs/dispatch/tests/restarted_endpoint_test.cpp
+++ b/libs/dispatch/tests/restarted_endpoint_test.cpp
@@ -154,3 +154,26 @@
     CHECK(again[0].run.number > first[0].run.number);
     CHECK(f.tested.status(f.now)[0].failures == 0);
 }
+
+TEST_CASE("a list order names the process whose clock and ends it assumes, and "
+          "the one for any process assumes none")
+{
+    dispatcher_fixture f(1);
+    f.tested.submit(make_spec("a", 1), "home", f.now);
+    f.deliver_orders();
+    auto const renewal = f.tested.next_list("e0", f.now);
+    REQUIRE(renewal.has_value());
+    CHECK(renewal->lease_until.has_value());
+    CHECK(renewal->process_started_ms == f.models.at("e0").record().started_ms);
+    f.advance(run_time);
+    f.read("e0");
+    auto const acknowledgement = f.tested.next_list("e0", f.now);
+    REQUIRE(acknowledgement.has_value());
+    CHECK(acknowledgement->acknowledged_end > 0);
+    CHECK(acknowledgement->process_started_ms != 0);
+    auto const any = acknowledgement->for_any_process();
+    CHECK(any.token == acknowledgement->token);
+    CHECK(any.acknowledged_end == 0);
+    CHECK_FALSE(any.lease_until.has_value());
+    CHECK(any.process_started_ms == 0);
+}
--- a/libs/gateway/src/cell_runner.hpp
+++ b/libs/gateway/src/cell_runner.hpp
@@ -126,6 +126,9 @@
         std::optional<outcome<platform::list_response>> decoded;
         /// Rows of the list that can't be read.
         std::size_t skipped = 0;
+        /// Not sent: no connection is known to lead to the process that the
+        /// order assumes.
+        bool unidentified = false;
 
         /// Start time of the process that has answered; 0 if it is unknown.
         std::int64_t process() const
@@ -138,7 +141,8 @@
     asio::awaitable<transport::call_result>
     call_endpoint(std::string endpoint, transport::http_request request,
                   milliseconds wait, transport::call_checks checks);
-    /// The connection is known to lead to the process that responds.
+    /// The connection is known from then on to lead to the process that has
+    /// responded.
     asio::awaitable<list_call> call_list(std::string endpoint,
                                          dispatch::list_order order);
     asio::awaitable<bool> read_list(std::string endpoint,
--- a/libs/gateway/src/endpoint_io.cpp
+++ b/libs/gateway/src/endpoint_io.cpp
@@ -113,6 +113,7 @@
 {
     list_call made;
     transport::call_checks checks;
+    checks.required_server = order.process_started_ms;
     checks.identify_server = [&](transport::http_response const& response)
     {
         made.response = platform::decode_endpoint_response(response).outcome;
@@ -125,7 +126,11 @@
         co_await call_endpoint(endpoint, platform::encode_list(order, endpoint),
                                order.wait, std::move(checks));
     if (!result)
+    {
         made.response = response_of(result.error());
+        made.unidentified =
+            result.error().stage == transport::call_stage::unidentified;
+    }
     co_return made;
 }
 
@@ -133,7 +138,12 @@
                                              dispatch::list_order order)
 {
     auto const sent = steady_clock::now();
-    auto const made = co_await call_list(endpoint, order);
+    auto made = co_await call_list(endpoint, order);
+    if (made.unidentified)
+    {
+        order = order.for_any_process();
+        made = co_await call_list(endpoint, order);
+    }
     if (stopped_)
         co_return false;
     catch_up_after_pause(steady_clock::now());
--- a/libs/gateway/tests/restarted_endpoint_test.cpp
+++ b/libs/gateway/tests/restarted_endpoint_test.cpp
@@ -1,4 +1,4 @@
-// Idle endpoints that have restarted under their id, unnoticed so far.
+// Endpoints that have restarted under their id, unnoticed so far.
 
 #include "deployment.hpp"
 
@@ -90,3 +90,27 @@
     CHECK(platform.findings().concurrent_runs.empty());
     CHECK(platform.findings().starts == before + 2);
 }
+
+// The lease was reckoned by the clock of the former process, and the ends that
+// the next one discards were never received.
+TEST_CASE("a restarted endpoint gets no list that renews leases or "
+          "acknowledges ends before its new process is listed")
+{
+    restarted_fixture f(2);
+    auto& platform = f.tested.platform();
+    platform.configure(2, milliseconds(600));
+    f.tested.run(milliseconds(500));
+    auto const before = platform.findings().starts;
+    auto const job = f.tested.submit(0, 2, 4);
+    REQUIRE(f.tested.run_until(
+        [&]
+        {
+            return platform.findings().starts == before + 4;
+        },
+        milliseconds(2'000)));
+    f.tested.run(milliseconds(100));
+    f.restart_all();
+    REQUIRE(f.run_until_answered(*job));
+    CHECK(platform.findings().unlisted_renewals.empty());
+    CHECK(platform.findings().concurrent_runs.empty());
+}
--- a/libs/test_support/include/test_support/gateway_standin.hpp
+++ b/libs/test_support/include/test_support/gateway_standin.hpp
@@ -70,6 +70,9 @@
     /// Tasks whose start arrived at a process of an endpoint that had not
     /// answered a list before: its sender can't have known the process.
     std::vector<std::string> unlisted_starts;
+    /// Endpoints that had not answered a list since their last restart and got
+    /// one that renews leases or acknowledges ends.
+    std::vector<std::string> unlisted_renewals;
     /// Ids of all jobs of which a task was started.
     std::set<std::string> started_jobs;
     /// Endpoint of the last start.
--- a/libs/test_support/src/gateway_standin.cpp
+++ b/libs/test_support/src/gateway_standin.cpp
@@ -61,6 +61,10 @@
         {
             findings.unlisted_starts.push_back(task + " on " + id);
         };
+        shared_state->on_unlisted_renewal = [this](std::string const& id)
+        {
+            findings.unlisted_renewals.push_back(id);
+        };
     }
 
     void register_endpoint(std::string const& id)
@@ -126,6 +130,7 @@
     auto const ignore = [](std::string const&, std::string const&) {};
     impl_->shared_state->on_started = ignore;
     impl_->shared_state->on_unlisted_start = ignore;
+    impl_->shared_state->on_unlisted_renewal = [](std::string const&) {};
 }
 
 outcome<void> gateway_standin::start_store(std::uint16_t port)
--- a/libs/test_support/src/standin_endpoint.cpp
+++ b/libs/test_support/src/standin_endpoint.cpp
@@ -251,10 +251,16 @@
     order.acknowledged_end = number_in(body, "last_seen");
     if (body.contains("until_ms"))
         order.lease_until = number_in(body, "until_ms");
+    if (!self->listed_ && (order.lease_until || order.acknowledged_end > 0))
+        self->shared_state_->on_unlisted_renewal(self->model_.record().id);
     auto const until =
         steady_clock::now() + milliseconds(number_in(body, "wait_ms"));
+    auto const process = self->model_.record().started_ms;
     for (;;)
     {
+        // The next process knows nothing of this call.
+        if (self->model_.record().started_ms != process)
+            co_return std::nullopt;
         dispatch::run_list list;
         auto const result = self->model_.list(order, self->clock_ms(), list);
         if (result != dispatch::order_response::accepted)
--- a/libs/test_support/src/standin_endpoint.hpp
+++ b/libs/test_support/src/standin_endpoint.hpp
@@ -31,6 +31,9 @@
     /// answered a list.
     std::function<void(std::string const& endpoint, std::string const& task)>
         on_unlisted_start;
+    /// Called for each list order with a lease or an acknowledgement that
+    /// arrives at such a process.
+    std::function<void(std::string const& endpoint)> on_unlisted_renewal;
 
     /// True with this probability.
     bool chance(int percent);
--- a/tools/gateway_soak/src/soak_run.cpp
+++ b/tools/gateway_soak/src/soak_run.cpp
@@ -478,6 +478,9 @@
         for (auto const& start : observed.unlisted_starts)
             findings_.push_back("started at a process that was not listed: " +
                                 start);
+        for (auto const& endpoint : observed.unlisted_renewals)
+            findings_.push_back(
+                "leases renewed at a process that was not listed: " + endpoint);
         if (options_.faults == fault_set::handovers)
         {
             for (auto const& start : observed.late_starts)
