A start that may have reached another process counts with the longest grant

The sender marks the starts that it sent over a connection to the process that they assume; all others count with longest_grant, answered or not.

interleaving_test has a case of starts for former processes of idle endpoints, with and without bound orders, and leases shorter than the grant.

--- a/libs/dispatch/include/dispatch/endpoint_calls.hpp
+++ b/libs/dispatch/include/dispatch/endpoint_calls.hpp
@@ -39,6 +39,9 @@
     /// Start time of the process whose clock, labels and capacity the order
     /// assumes; 0 if it is unknown. No other process must get the order.
     std::int64_t process_started_ms = 0;
+    /// Set by the sender, with the response: the order was sent over a
+    /// connection to that process, and no other one can have got it.
+    bool bound = false;
 };
 
 /// Asks an endpoint to stop a run, and to reject a start order for it that
--- a/libs/dispatch/include/dispatch/limits.hpp
+++ b/libs/dispatch/include/dispatch/limits.hpp
@@ -14,6 +14,8 @@
     /// Factor by which a run takes longer outside the preferred rack.
     /// `bounds.remote_factor`.
     double remote_factor = 1;
+    /// Longest lease that an endpoint grants, by its own clock.
+    milliseconds longest_grant{1'000};
 };
 
 } // namespace masticshift::dispatch
--- a/libs/dispatch/src/dispatcher_placement.cpp
+++ b/libs/dispatch/src/dispatcher_placement.cpp
@@ -378,6 +378,9 @@
     if (found == account->runs().end())
         return;
     auto& run = found->second;
+    if (!order.bound && (response == order_response::accepted ||
+                         response == order_response::unanswered))
+        account->record_unbound_start(run, now);
     stop_starts_at(*account, response, now);
     if (run.job && response != order_response::accepted)
         record_decision("start_answered", *run.job, order.run.task,
--- a/libs/dispatch/src/endpoint_account.cpp
+++ b/libs/dispatch/src/endpoint_account.cpp
@@ -355,6 +355,13 @@
     watched_until_ = now + longest_transit;
 }
 
+void endpoint_account::record_unbound_start(placed_run& run, time_point now)
+{
+    auto const end = now + longest_lease_time(limits_.longest_grant);
+    run.lease_passed = std::max(run.lease_passed, end);
+    last_lease_end_ = std::max(last_lease_end_, end);
+}
+
 void endpoint_account::record_outranked()
 {
     link_ = endpoint_link::outranked;
--- a/libs/dispatch/src/endpoint_account.hpp
+++ b/libs/dispatch/src/endpoint_account.hpp
@@ -242,6 +242,10 @@
     void record_outranked();
     /// A start order got no response and may still be in transit.
     void record_unanswered_start(time_point now);
+    /// Another process than the one whose clock the lease was given by may have
+    /// carried out the start of this run: the lease lasts for up to the longest
+    /// grant.
+    void record_unbound_start(placed_run& run, time_point now);
     /// Whether it is listed because such an order may be.
     bool is_watched(time_point now) const
     {
--- a/libs/dispatch/tests/interleaving_endpoints.cpp
+++ b/libs/dispatch/tests/interleaving_endpoints.cpp
@@ -102,7 +102,7 @@
            chance(rates_.lost_answers);
 }
 
-void interleaving_model::send_start(driver& from, start_order const& order)
+void interleaving_model::send_start(driver& from, start_order order)
 {
     auto const number = index_of(order.endpoint);
     auto& to = endpoints_[number];
@@ -116,11 +116,20 @@
         tested.start_answered(order, *failed, std::nullopt, time_of(from));
         return;
     }
+    if (assumes_other(order.process_started_ms, to))
+    {
+        record(order.run.task, what + "not sent to the next process");
+        tested.start_answered(order, order_response::other_instance,
+                              std::nullopt, time_of(from));
+        return;
+    }
+    order.bound = rates_.binds_orders;
     if (chance(rates_.late_orders))
     {
         record(order.run.task, what + "held up");
         late_orders_.push_back({now_ + milliseconds(pick(0, longest_delay_ms)),
-                                number, order, std::nullopt, std::nullopt});
+                                number, order, std::nullopt, std::nullopt,
+                                bound_process(to)});
         tested.start_answered(order, order_response::unanswered, std::nullopt,
                               time_of(from));
         return;
@@ -156,7 +165,8 @@
     if (chance(rates_.late_orders))
     {
         late_orders_.push_back({now_ + milliseconds(pick(0, longest_delay_ms)),
-                                number, std::nullopt, order, std::nullopt});
+                                number, std::nullopt, order, std::nullopt,
+                                bound_process(to)});
         if (chance(50))
             tested.stop_answered(order, order_response::unanswered,
                                  time_of(from));
@@ -173,9 +183,11 @@
     auto& to = endpoints_[number];
     auto& tested = *from.tested;
     auto const id = to.model.record().id;
-    auto const order = tested.next_list(id, time_of(from));
+    auto order = tested.next_list(id, time_of(from));
     if (!order)
         return;
+    if (assumes_other(order->process_started_ms, to))
+        order = order->for_any_process();
     if (auto const failed = undelivered(from, number))
     {
         tested.list_failed(id, *failed, time_of(from));
@@ -183,9 +195,10 @@
     }
     if (chance(rates_.late_orders))
     {
-        late_orders_.push_back({now_ + milliseconds(pick(shortest_list_delay_ms,
-                                                         longest_delay_ms)),
-                                number, std::nullopt, std::nullopt, order});
+        late_orders_.push_back(
+            {now_ +
+                 milliseconds(pick(shortest_list_delay_ms, longest_delay_ms)),
+             number, std::nullopt, std::nullopt, order, bound_process(to)});
         tested.list_failed(id, order_response::unanswered, time_of(from));
         return;
     }
@@ -223,7 +236,7 @@
                       if (now_ < each.at)
                           return false;
                       auto& to = endpoints_[each.endpoint];
-                      if (!is_down(to))
+                      if (!is_down(to) && !assumes_other(each.process, to))
                           deliver(each, to);
                       return true;
                   });
--- a/libs/dispatch/tests/interleaving_model.hpp
+++ b/libs/dispatch/tests/interleaving_model.hpp
@@ -48,6 +48,9 @@
     /// Submissions that are held up on an older connection than their
     /// withdrawal.
     int held_submissions = 0;
+    /// Orders are sent over connections to the process that they assume, and
+    /// end with it. Otherwise the next process of the endpoint may get them.
+    bool binds_orders = false;
     /// Longest lease that dispatchers ask for.
     milliseconds longest_lease{1'000};
 };
@@ -226,6 +229,8 @@
         std::optional<start_order> start;
         std::optional<stop_order> stop;
         std::optional<list_order> list;
+        /// Start time of the process that alone may get it; 0 for any.
+        std::int64_t process = 0;
     };
 
     bool chance(int percent)
@@ -342,7 +347,19 @@
     std::optional<order_response> undelivered(driver const& from,
                                               std::size_t to) const;
     bool loses_response(driver const& from, std::size_t to);
-    void send_start(driver& from, start_order const& order);
+    /// The process that alone may get an order that is sent now; 0 for any.
+    std::int64_t bound_process(endpoint const& to) const
+    {
+        return rates_.binds_orders ? to.model.record().started_ms : 0;
+    }
+    /// Whether the order assumes another process than the one that its
+    /// connection leads to.
+    bool assumes_other(std::int64_t process, endpoint const& to) const
+    {
+        return rates_.binds_orders && process != 0 &&
+               process != to.model.record().started_ms;
+    }
+    void send_start(driver& from, start_order order);
     void send_stop(driver& from, stop_order const& order);
     void read(driver& from, std::size_t number);
     void note_accepted_list(driver const& from, endpoint& to) const;
--- a/libs/dispatch/tests/interleaving_test.cpp
+++ b/libs/dispatch/tests/interleaving_test.cpp
@@ -1,5 +1,6 @@
 #include "interleaving_model.hpp"
 
+#include <dispatch/resubmission_bounds.hpp>
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
 
@@ -131,3 +132,33 @@
     CHECK(totals.suspensions > 0);
     report(totals);
 }
+
+// Idle endpoints restart under their id and get starts before anyone has
+// noticed; then their links fail. Leases are shorter than the longest grant.
+TEST_CASE("starts for former processes of idle endpoints cause no two "
+          "concurrent runs of a task")
+{
+    for (bool const binds : {false, true})
+    {
+        CAPTURE(binds);
+        interleaving_model::counts totals;
+        auto const passed =
+            rc::check("one run of a task at a time",
+                      [&](unsigned seed)
+                      {
+                          fault_rates rates;
+                          rates.lost_answers = *rc::gen::inRange(0, 40);
+                          rates.late_orders =
+                              binds ? *rc::gen::inRange(0, 40) : 0;
+                          rates.crashes = 100;
+                          rates.link_faults = *rc::gen::inRange(50, 100);
+                          rates.binds_orders = binds;
+                          rates.longest_lease = longest_useful_lease;
+                          run_one_at_a_time(seed, rates, totals);
+                      });
+        CHECK(passed);
+        CHECK(totals.restarts > 0);
+        CHECK(totals.link_faults > 0);
+        report(totals);
+    }
+}
--- a/libs/gateway/src/cell_runner.cpp
+++ b/libs/gateway/src/cell_runner.cpp
@@ -50,7 +50,8 @@
 
 dispatch::dispatch_limits limits_of(config::gateway_bounds const& bounds)
 {
-    return {dispatch::lease_within(bounds.longest_lease), bounds.remote_factor};
+    return {dispatch::lease_within(bounds.longest_lease), bounds.remote_factor,
+            bounds.longest_lease};
 }
 
 } // namespace
--- a/libs/gateway/src/endpoint_io.cpp
+++ b/libs/gateway/src/endpoint_io.cpp
@@ -247,6 +247,7 @@
     else
     {
         response = co_await self->start_at_process(order);
+        order.bound = order.process_started_ms != 0;
     }
     if (self->stopped_)
         co_return;
