A start that waits for its connection costs less where orders get lost

The list that identifies a process is repeated after 6, 12, 24 and 48 ms (twice the estimate of the response time, at least 6) and does not count as a loss. A start that has not been sent takes the present token. Connections that have answered since the first of two losses stay open. A start that found no connection costs trust only after three in a row, as one without a response.

Tests: restarted_endpoint_test (the present token, trust), response_timeout_test, required_server_test.

--- a/libs/dispatch/include/dispatch/dispatcher.hpp
+++ b/libs/dispatch/include/dispatch/dispatcher.hpp
@@ -151,9 +151,10 @@
                        time_point sent, time_point now);
     void list_failed(std::string const& endpoint, order_response response,
                      time_point now);
-    /// Whether the order may still be sent: its run is wanted, and the process
-    /// that it assumes is the one that answered the last list.
-    bool is_current(start_order const& order) const;
+    /// Returns the order, which has not been sent yet, with the present token.
+    /// Nothing if it must not be sent any more: its run is unwanted, or another
+    /// process than the one that it assumes has answered a list.
+    std::optional<start_order> renew_unsent(start_order order);
 
     void start_answered(start_order const& order, order_response response,
                         std::optional<std::int64_t> endpoint_clock,
--- a/libs/dispatch/include/dispatch/endpoint_calls.hpp
+++ b/libs/dispatch/include/dispatch/endpoint_calls.hpp
@@ -100,6 +100,8 @@
     /// Not sent: the process that the order assumes has ended, or the run is
     /// no longer wanted.
     outdated,
+    /// Not sent: no process has identified itself over a new connection.
+    unidentified,
     /// No process listens at the address.
     connection_refused,
     /// No byte of the order was sent.
--- a/libs/dispatch/include/dispatch/response_timeout.hpp
+++ b/libs/dispatch/include/dispatch/response_timeout.hpp
@@ -3,6 +3,8 @@
 
 #include <core/time.hpp>
 
+#include <optional>
+
 namespace masticshift::dispatch
 {
 
@@ -22,8 +24,15 @@
     /// slow.
     milliseconds after(unsigned unanswered) const;
 
+    /// The timeout for a call over a new connection that changes nothing and
+    /// may be abandoned for another one at small cost. It doubles with each
+    /// attempt, from 0 on.
+    milliseconds of_attempt(unsigned attempt) const;
+
 private:
     void observe(double taken_ms);
+    /// Nothing while there are too few samples.
+    std::optional<double> estimate_ms() const;
 
     double mean_ms_ = 0;
     double deviation_ms_ = 0;
--- a/libs/dispatch/src/dispatcher_interface.cpp
+++ b/libs/dispatch/src/dispatcher_interface.cpp
@@ -140,10 +140,12 @@
     impl_->list_failed(endpoint, response, now);
 }
 
-bool dispatcher::is_current(start_order const& order) const
+std::optional<start_order> dispatcher::renew_unsent(start_order order)
 {
-    auto const found = impl_->accounts_.find(order.endpoint);
-    return found != impl_->accounts_.end() && found->second->is_current(order);
+    auto* const account = impl_->find(order.endpoint);
+    if (account == nullptr || !account->renew_unsent(order))
+        return std::nullopt;
+    return order;
 }
 
 void dispatcher::start_answered(start_order const& order,
--- a/libs/dispatch/src/dispatcher_placement.cpp
+++ b/libs/dispatch/src/dispatcher_placement.cpp
@@ -422,6 +422,12 @@
             return;
         }
         break;
+    case order_response::unidentified:
+        // As little evidence as a start without a response.
+        if (account->health().unanswered())
+            record_failure(*account, endpoint_failure::unanswered, now);
+        account->record_call_failure(now);
+        break;
     case order_response::other_instance:
         endpoints_to_poll_.insert(order.endpoint);
         [[fallthrough]];
--- a/libs/dispatch/src/endpoint_account.cpp
+++ b/libs/dispatch/src/endpoint_account.cpp
@@ -199,12 +199,15 @@
     return order;
 }
 
-bool endpoint_account::is_current(start_order const& order) const
+bool endpoint_account::renew_unsent(start_order& order)
 {
     auto const found = runs_.find(order.run);
-    return found != runs_.end() && !found->second.unwanted &&
-           order.process_started_ms == process_started_ms_ &&
-           order.token == token_;
+    if (found == runs_.end() || found->second.unwanted ||
+        link_ == endpoint_link::outranked ||
+        order.process_started_ms != process_started_ms_)
+        return false;
+    found->second.token = order.token = token_;
+    return true;
 }
 
 milliseconds endpoint_account::wait_for_end(time_point now) const
--- a/libs/dispatch/src/endpoint_account.hpp
+++ b/libs/dispatch/src/endpoint_account.hpp
@@ -221,9 +221,9 @@
     /// the token was rejected.
     std::optional<list_order> next_list(time_point now);
 
-    /// Whether the order may still be sent: its run is wanted, and the process
-    /// and the token that it assumes are the present ones.
-    bool is_current(start_order const& order) const;
+    /// Sets the present token in an order that has not been sent yet. Returns
+    /// false if it must not be sent any more.
+    bool renew_unsent(start_order& order);
 
     /// Applies the response to a list order that was sent at `sent`. Foreign
     /// runs are added to `runs()`.
--- a/libs/dispatch/src/endpoint_calls.cpp
+++ b/libs/dispatch/src/endpoint_calls.cpp
@@ -9,9 +9,10 @@
 {
 
 constexpr std::array response_names{
-    "accepted", "outranked",          "run_too_old", "too_late",
-    "no_room",  "malformed",          "unhealthy",   "other_instance",
-    "outdated", "connection_refused", "not_sent",    "unanswered"};
+    "accepted",  "outranked",    "run_too_old",        "too_late",
+    "no_room",   "malformed",    "unhealthy",          "other_instance",
+    "outdated",  "unidentified", "connection_refused", "not_sent",
+    "unanswered"};
 
 constexpr std::array end_names{"done", "failed", "stopped", "lapsed",
                                "group_broken"};
--- a/libs/dispatch/src/response_timeout.cpp
+++ b/libs/dispatch/src/response_timeout.cpp
@@ -22,6 +22,11 @@
 /// longer, but afterwards it reads responses before its timers run.
 constexpr milliseconds min_timeout{25};
 
+/// More than connecting and one call take between neighbouring data centres.
+constexpr milliseconds min_first_attempt{6};
+
+constexpr unsigned most_doublings = 3;
+
 /// A third of the time after which a dispatcher counts as dead.
 constexpr milliseconds max_timeout{150};
 
@@ -45,18 +50,36 @@
     mean_ms_ += (taken_ms - mean_ms_) * mean_gain;
 }
 
-milliseconds response_timeout::current() const
+std::optional<double> response_timeout::estimate_ms() const
 {
     if (samples_ < min_samples)
+        return std::nullopt;
+    return mean_ms_ + deviations * deviation_ms_;
+}
+
+milliseconds response_timeout::current() const
+{
+    auto const estimate = estimate_ms();
+    if (!estimate)
+        return max_timeout;
+    return std::clamp(milliseconds(std::lround(*estimate)), min_timeout,
+                      max_timeout);
+}
+
+milliseconds response_timeout::of_attempt(unsigned attempt) const
+{
+    auto const estimate = estimate_ms();
+    if (!estimate)
         return max_timeout;
-    auto const estimate =
-        milliseconds(std::lround(mean_ms_ + deviations * deviation_ms_));
-    return std::clamp(estimate, min_timeout, max_timeout);
+    // Connecting takes a round trip too.
+    auto const first =
+        std::max(milliseconds(std::lround(2 * *estimate)), min_first_attempt);
+    return std::min(first * (1 << std::min(attempt, most_doublings)),
+                    max_timeout);
 }
 
 milliseconds response_timeout::after(unsigned unanswered) const
 {
-    constexpr unsigned most_doublings = 3;
     auto const doublings =
         std::min(unanswered - std::min(unanswered, 1U), most_doublings);
     return std::min(current() * (1 << doublings), max_timeout);
--- a/libs/dispatch/tests/response_timeout_test.cpp
+++ b/libs/dispatch/tests/response_timeout_test.cpp
@@ -36,3 +36,20 @@
     CHECK(tested.after(4) == milliseconds(150));
     CHECK(tested.after(1'000) == milliseconds(150));
 }
+
+TEST_CASE("the timeout of attempts that may be abandoned begins near the "
+          "response time and doubles")
+{
+    response_timeout tested;
+    CHECK(tested.of_attempt(0) == milliseconds(150));
+    for (int i = 0; i < 50; ++i)
+        tested.answered(milliseconds(1));
+    CHECK(tested.of_attempt(0) == milliseconds(6));
+    CHECK(tested.of_attempt(1) == milliseconds(12));
+    CHECK(tested.of_attempt(3) == milliseconds(48));
+    CHECK(tested.of_attempt(1'000) == milliseconds(48));
+    for (int i = 0; i < 50; ++i)
+        tested.answered(milliseconds(30));
+    CHECK(tested.of_attempt(0) >= milliseconds(60));
+    CHECK(tested.of_attempt(2) == milliseconds(150));
+}
--- a/libs/dispatch/tests/restarted_endpoint_test.cpp
+++ b/libs/dispatch/tests/restarted_endpoint_test.cpp
@@ -105,9 +105,9 @@
     REQUIRE(starts.size() == 1);
     CHECK(starts[0].process_started_ms ==
           f.models.at("e0").record().started_ms);
-    CHECK(f.tested.is_current(starts[0]));
+    CHECK(f.tested.renew_unsent(starts[0]).has_value());
     restart(f, "e0");
-    CHECK_FALSE(f.tested.is_current(starts[0]));
+    CHECK_FALSE(f.tested.renew_unsent(starts[0]).has_value());
 }
 
 TEST_CASE("a start order of a withdrawn job is outdated")
@@ -117,7 +117,7 @@
     auto const starts = f.tested.take_starts();
     REQUIRE(starts.size() == 1);
     f.tested.withdraw("a", "home", f.now);
-    CHECK_FALSE(f.tested.is_current(starts[0]));
+    CHECK_FALSE(f.tested.renew_unsent(starts[0]).has_value());
 }
 
 // The restart shows when a connection is opened for the start.
@@ -177,3 +177,55 @@
     CHECK_FALSE(any.lease_until.has_value());
     CHECK(any.process_started_ms == 0);
 }
+
+// A start waits for its connection to be identified while a lost list raises
+// the token; with the former token the endpoint would reject it.
+TEST_CASE(
+    "a start that has not been sent when the token is raised is sent with "
+    "the present one")
+{
+    dispatcher_fixture f(2);
+    f.tested.submit(make_spec("a", 1), "home", f.now);
+    auto const lost = f.tested.take_starts();
+    REQUIRE(lost.size() == 1);
+    auto const id = lost[0].endpoint;
+    f.tested.start_answered(lost[0], order_response::unanswered, std::nullopt,
+                            f.now);
+    auto const repeated = f.tested.take_starts();
+    REQUIRE(repeated.size() == 1);
+    f.tested.list_failed(id, order_response::unanswered, f.now);
+    REQUIRE(f.tested.token() > repeated[0].token);
+    auto const renewed = f.tested.renew_unsent(repeated[0]);
+    REQUIRE(renewed.has_value());
+    CHECK(renewed->token == f.tested.token());
+    // The list with the raised token arrives first.
+    f.read(id);
+    CHECK(f.tested.runs() == 1);
+    CHECK(f.models.at(id).start(repeated[0], f.clock(), run_time, false) ==
+          order_response::outranked);
+    CHECK(f.models.at(id).start(*renewed, f.clock(), run_time, false) ==
+          order_response::accepted);
+    f.tested.start_answered(*renewed, order_response::accepted, f.clock(),
+                            f.now);
+    f.advance(run_time);
+    f.read(id);
+    CHECK(f.tested.take_finished().size() == 1);
+}
+
+TEST_CASE("starts whose process could not be identified are placed again and "
+          "cost trust only after several in a row")
+{
+    dispatcher_fixture f(1);
+    f.tested.submit(make_spec("a", 1), "home", f.now);
+    for (int i = 0; i < 2; ++i)
+    {
+        auto const starts = f.tested.take_starts();
+        REQUIRE(starts.size() == 1);
+        f.tested.start_answered(starts[0], order_response::unidentified,
+                                std::nullopt, f.now);
+        CHECK(f.tested.status(f.now)[0].failures == 0);
+    }
+    f.tested.start_answered(f.tested.take_starts().at(0),
+                            order_response::unidentified, std::nullopt, f.now);
+    CHECK(f.tested.status(f.now)[0].failures == 1);
+}
--- a/libs/gateway/src/cell_runner.hpp
+++ b/libs/gateway/src/cell_runner.hpp
@@ -141,6 +141,7 @@
     asio::awaitable<transport::call_result>
     call_endpoint(std::string endpoint, transport::http_request request,
                   milliseconds wait, transport::call_checks checks);
+    static list_call read_response(transport::http_response const& response);
     /// The connection is known from then on to lead to the process that has
     /// responded.
     asio::awaitable<list_call> call_list(std::string endpoint,
@@ -155,11 +156,12 @@
     /// Returns `accepted` if it is the one that the order assumes, and
     /// `other_instance` if it is not.
     asio::awaitable<dispatch::order_response>
-    identify_process(dispatch::start_order order);
+    identify_process(dispatch::start_order order, unsigned attempt);
     /// Sends a start order only over a connection to the process that it
     /// assumes. A new connection may lead to the next process of the endpoint.
+    /// Sets the token with which the order was sent.
     asio::awaitable<platform::endpoint_response>
-    start_at_process(dispatch::start_order order);
+    start_at_process(dispatch::start_order& order);
     static asio::awaitable<void> send_start(self_ptr self,
                                             dispatch::start_order order);
     static asio::awaitable<void> send_stop(self_ptr self,
@@ -196,8 +198,16 @@
     /// All endpoints of the cell, including those that the former dispatcher
     /// has not released yet.
     std::map<std::string, dispatch::endpoint_record> records_;
-    /// By endpoint: calls in a row without a response.
-    std::map<std::string, unsigned> unanswered_;
+    /// Calls in a row without a response.
+    struct lost_calls
+    {
+        unsigned count = 0;
+        /// When the first of them was sent.
+        time_point since;
+    };
+
+    /// By endpoint.
+    std::map<std::string, lost_calls> unanswered_;
     dispatch::response_timeout response_timeout_;
     /// By endpoint: the timer that its `watch_endpoint` loop waits on.
     /// Cancelling it wakes the loop.
--- a/libs/gateway/src/endpoint_io.cpp
+++ b/libs/gateway/src/endpoint_io.cpp
@@ -20,7 +20,7 @@
 constexpr milliseconds longest_retry_pause{100};
 
 /// How often a start looks for a connection to the process that it assumes.
-constexpr int max_identifications = 3;
+constexpr unsigned max_identifications = 4;
 
 milliseconds retry_pause_after(unsigned failures)
 {
@@ -29,6 +29,16 @@
     return std::min(first_retry_pause * (1 << doublings), longest_retry_pause);
 }
 
+/// Whether a start goes on after this response to the list that was to identify
+/// the process. No part of the start was sent, so that a lost response is no
+/// loss.
+bool may_identify_again(dispatch::order_response response)
+{
+    return response == dispatch::order_response::accepted ||
+           response == dispatch::order_response::unanswered ||
+           response == dispatch::order_response::not_sent;
+}
+
 dispatch::order_response response_of(transport::call_failure const& failed)
 {
     if (failed.stage == transport::call_stage::written)
@@ -86,8 +96,8 @@
     auto const port = record->second.port;
     auto const sent = steady_clock::now();
     auto const lost = unanswered_.find(endpoint);
-    auto const timeout =
-        response_timeout_.after(lost == unanswered_.end() ? 0 : lost->second);
+    auto const timeout = response_timeout_.after(
+        lost == unanswered_.end() ? 0 : lost->second.count);
     auto result = co_await endpoints_.call(
         ip, port, std::move(request), sent + wait + timeout, std::move(checks));
     if (!result && result.error().stage == transport::call_stage::unidentified)
@@ -103,11 +113,22 @@
     state_.metrics.unanswered.add();
     // One lost response does not show that the other pooled connections are
     // broken; two in a row do.
-    if (++unanswered_[endpoint] > 1)
-        endpoints_.close_pooled(ip, port);
+    auto& calls = unanswered_.try_emplace(endpoint, 0U, sent).first->second;
+    if (++calls.count > 1)
+        endpoints_.close_pooled(ip, port, calls.since);
     co_return result;
 }
 
+cell_runner::list_call
+cell_runner::read_response(transport::http_response const& response)
+{
+    list_call made;
+    made.response = platform::decode_endpoint_response(response).outcome;
+    if (made.response == dispatch::order_response::accepted)
+        made.decoded = platform::decode_list(response, made.skipped);
+    return made;
+}
+
 asio::awaitable<cell_runner::list_call>
 cell_runner::call_list(std::string endpoint, dispatch::list_order order)
 {
@@ -116,9 +137,7 @@
     checks.required_server = order.process_started_ms;
     checks.identify_server = [&](transport::http_response const& response)
     {
-        made.response = platform::decode_endpoint_response(response).outcome;
-        if (made.response == dispatch::order_response::accepted)
-            made.decoded = platform::decode_list(response, made.skipped);
+        made = read_response(response);
         return made.process();
     };
     state_.metrics.lists.add();
@@ -180,13 +199,31 @@
 }
 
 asio::awaitable<dispatch::order_response>
-cell_runner::identify_process(dispatch::start_order order)
+cell_runner::identify_process(dispatch::start_order order, unsigned attempt)
 {
+    auto const record = records_.find(order.endpoint);
+    if (record == records_.end())
+        co_return dispatch::order_response::not_sent;
     dispatch::list_order list;
     list.token = order.token;
     // Its runs are left to `watch_endpoint`, whose lists are in order.
-    auto const made = co_await call_list(order.endpoint, list);
+    list_call made;
+    transport::call_checks checks;
+    checks.identify_server = [&](transport::http_response const& response)
+    {
+        made = read_response(response);
+        return made.process();
+    };
     state_.metrics.identifications.add();
+    // Nothing depends on one such call: a lost one is repeated soon, and says
+    // nothing of the other connections.
+    auto const result = co_await endpoints_.call(
+        record->second.ip, record->second.port,
+        platform::encode_list(list, order.endpoint),
+        steady_clock::now() + response_timeout_.of_attempt(attempt),
+        std::move(checks));
+    if (!result)
+        co_return response_of(result.error());
     if (made.process() == order.process_started_ms)
         co_return dispatch::order_response::accepted;
     if (made.process() != 0)
@@ -197,10 +234,10 @@
 }
 
 asio::awaitable<platform::endpoint_response>
-cell_runner::start_at_process(dispatch::start_order order)
+cell_runner::start_at_process(dispatch::start_order& order)
 {
     platform::endpoint_response response;
-    for (int attempt = 0; attempt < max_identifications; ++attempt)
+    for (unsigned attempt = 0;; ++attempt)
     {
         transport::call_checks checks;
         checks.required_server = order.process_started_ms;
@@ -212,26 +249,26 @@
         response.outcome = response_of(result.error());
         if (result.error().stage != transport::call_stage::unidentified)
             co_return response;
-        auto const identified = co_await identify_process(order);
+        response.outcome = dispatch::order_response::unidentified;
+        if (attempt == max_identifications)
+            co_return response;
+        auto const identified = co_await identify_process(order, attempt);
         if (stopped_)
-            break;
+            co_return response;
         catch_up_after_pause(steady_clock::now());
-        if (!dispatcher_->is_current(order))
+        auto const renewed = dispatcher_->renew_unsent(order);
+        if (!renewed || is_resuming(steady_clock::now()))
         {
             response.outcome = dispatch::order_response::outdated;
-            break;
+            co_return response;
         }
-        if (is_resuming(steady_clock::now()))
-            break;
-        // Nothing of the start was sent, so that a lost response is no loss.
-        if (identified != dispatch::order_response::accepted &&
-            identified != dispatch::order_response::unanswered)
+        order = *renewed;
+        if (!may_identify_again(identified))
         {
             response.outcome = identified;
-            break;
+            co_return response;
         }
     }
-    co_return response;
 }
 
 asio::awaitable<void> cell_runner::send_start(self_ptr self,
--- a/libs/gateway/src/store_client.cpp
+++ b/libs/gateway/src/store_client.cpp
@@ -39,7 +39,7 @@
     if (!answered)
         state_.metrics.store_failures.add();
     if (!result)
-        http_.close_pooled(address.ip, address.port);
+        http_.close_pooled(address.ip, address.port, steady_clock::now());
     set_reachable(answered, detail.str());
     co_return result;
 }
--- a/libs/transport/include/transport/http_client.hpp
+++ b/libs/transport/include/transport/http_client.hpp
@@ -112,9 +112,11 @@
     void set_max_connections(std::string const& ip, std::uint16_t port,
                              unsigned limit);
 
-    /// Closes the pooled connections to one address, for example because a call
-    /// on another connection to it got no response.
-    void close_pooled(std::string const& ip, std::uint16_t port);
+    /// Closes the pooled connections to one address that have carried no
+    /// response since this time, for example because a call on another
+    /// connection to it got no response.
+    void close_pooled(std::string const& ip, std::uint16_t port,
+                      time_point since);
 
     /// Closes pooled connections that were idle for too long.
     void close_idle(time_point now);
--- a/libs/transport/src/http_client.cpp
+++ b/libs/transport/src/http_client.cpp
@@ -256,11 +256,17 @@
         pool_of(ip, port)->max_connections = limit;
     }
 
-    void close_pooled(std::string const& ip, std::uint16_t port)
+    void close_pooled(std::string const& ip, std::uint16_t port,
+                      time_point since)
     {
         auto const found = pools_.find({ip, port});
-        if (found != pools_.end())
-            found->second->pooled.clear();
+        if (found == pools_.end())
+            return;
+        std::erase_if(found->second->pooled,
+                      [&](connection_ptr const& pooled)
+                      {
+                          return pooled->idle_since < since;
+                      });
     }
 
     void close_idle(time_point now)
@@ -419,9 +425,10 @@
     impl_->set_max_connections(ip, port, limit);
 }
 
-void http_client::close_pooled(std::string const& ip, std::uint16_t port)
+void http_client::close_pooled(std::string const& ip, std::uint16_t port,
+                               time_point since)
 {
-    impl_->close_pooled(ip, port);
+    impl_->close_pooled(ip, port, since);
 }
 
 void http_client::close_idle(time_point now)
--- a/libs/transport/tests/odd_message_test.cpp
+++ b/libs/transport/tests/odd_message_test.cpp
@@ -210,7 +210,7 @@
             auto const port = acceptor.local_endpoint().port();
             for (std::size_t i = 0; i < responses.size(); ++i)
             {
-                client.close_pooled(loopback, port);
+                client.close_pooled(loopback, port, steady_clock::now());
                 auto const result = co_await client.call(
                     loopback, port, plain, steady_clock::now() + call_timeout);
                 if (result)
--- a/libs/transport/tests/required_server_test.cpp
+++ b/libs/transport/tests/required_server_test.cpp
@@ -178,3 +178,22 @@
             CHECK((co_await f.call_process(2)).has_value());
         });
 }
+
+// Two lost responses in a row closed also the connections that had answered
+// meanwhile.
+TEST_CASE("a connection that has carried a response since the given time stays "
+          "open when the others are closed")
+{
+    restartable_server f;
+    f.run(
+        [&]() -> asio::awaitable<void>
+        {
+            CHECK((co_await f.identify()).has_value());
+            auto const between = steady_clock::now();
+            f.client.close_pooled(loopback, f.port, between);
+            CHECK(f.client.connections(loopback, f.port) == 0);
+            CHECK((co_await f.identify()).has_value());
+            f.client.close_pooled(loopback, f.port, between);
+            CHECK(f.client.connections(loopback, f.port) == 1);
+        });
+}
