--- a/libs/dispatch/src/dispatcher_placement.cpp
+++ b/libs/dispatch/src/dispatcher_placement.cpp
@@ -423,7 +423,9 @@
         }
         break;
     case order_response::unidentified:
-        // As little evidence as a start without a response.
+        // Nothing more is placed there until it has answered a list.
+        account->list_again();
+        endpoints_to_poll_.insert(order.endpoint);
         if (account->health().unanswered())
             record_failure(*account, endpoint_failure::unanswered, now);
         account->record_call_failure(now);
