--- a/libs/gateway/src/endpoint_io.cpp
+++ b/libs/gateway/src/endpoint_io.cpp
@@ -113,7 +113,8 @@
     state_.metrics.unanswered.add();
     // One lost response does not show that the other pooled connections are
     // broken; two in a row do.
-    auto& calls = unanswered_.try_emplace(endpoint, 0U, sent).first->second;
+    auto& calls =
+        unanswered_.try_emplace(endpoint, lost_calls{0, sent}).first->second;
     if (++calls.count > 1)
         endpoints_.close_pooled(ip, port, calls.since);
     co_return result;
