--- a/libs/gateway/tests/deployment.hpp
+++ b/libs/gateway/tests/deployment.hpp
@@ -161,6 +161,16 @@
                                            int tasks = 2,
                                            std::string const& path = "/q/",
                                            std::string const& extra = "")
+    {
+        auto const step = R"("count":)" + std::to_string(tasks);
+        return submit_step(number, id, step, path, extra);
+    }
+
+    /// `step`: the fields of the job's step that it does not share with others.
+    std::shared_ptr<pending_answer> submit_step(std::size_t number, unsigned id,
+                                                std::string const& step,
+                                                std::string const& path = "/q/",
+                                                std::string const& extra = "")
     {
         std::array<char, 17> name{};
         std::snprintf(name.data(), name.size(), "%016x", id);
@@ -170,7 +180,7 @@
         request.fields.set("Host", "jobs.example");
         request.fields.set("X-Deadline-Ms", "3000");
         request.body = R"({"best_effort":true,"spec":"s")" + extra +
-                       R"(,"steps":[{"count":)" + std::to_string(tasks) +
+                       R"(,"steps":[{)" + step +
                        R"(,"cpu":6800,"mem_mb":64,"estimate_ms":40}]})";
         auto answer = std::make_shared<pending_answer>();
         auto const address = entries_[number].settings.gateway.caller_address;
--- a/libs/gateway/tests/restarted_endpoint_test.cpp
+++ b/libs/gateway/tests/restarted_endpoint_test.cpp
@@ -114,3 +114,38 @@
     CHECK(platform.findings().unlisted_renewals.empty());
     CHECK(platform.findings().concurrent_runs.empty());
 }
+
+// Tasks ran where their caller had excluded them (review/9, ROUTE).
+TEST_CASE("a task starts on no endpoint that has lost the label it requires in "
+          "an unnoticed restart")
+{
+    restarted_fixture f(2);
+    auto& platform = f.tested.platform();
+    platform.faults().store_silent = true;
+    for (auto const& id : f.ids)
+        platform.restart_endpoint_as(id, {"b"}, 16'000);
+    auto const before = platform.findings().starts;
+    f.tested.submit_step(0, 2, R"("count":4,"requires":"a")");
+    f.tested.run(milliseconds(400));
+    platform.faults().store_silent = false;
+    f.tested.run(milliseconds(1'500));
+    CHECK(platform.findings().starts == before);
+}
+
+// The next process rejected what did not fit; one that does not guard its
+// capacity would have started it (LIMIT).
+TEST_CASE("an endpoint that has come back with less capacity unnoticed gets no "
+          "start that does not fit")
+{
+    restarted_fixture f(2);
+    auto& platform = f.tested.platform();
+    platform.faults().store_silent = true;
+    for (auto const& id : f.ids)
+        platform.restart_endpoint_as(id, {"a"}, 6'800);
+    auto const job = f.tested.submit(0, 2, 4);
+    f.tested.run(milliseconds(400));
+    platform.faults().store_silent = false;
+    REQUIRE(f.run_until_answered(*job));
+    CHECK(job->status == 200);
+    CHECK(platform.findings().rejected_for_room == 0);
+}
--- a/libs/test_support/include/test_support/endpoint_model.hpp
+++ b/libs/test_support/include/test_support/endpoint_model.hpp
@@ -120,6 +120,14 @@
         return lease_until_;
     }
 
+    /// Changes what the next process of the endpoint is. `processor`: in
+    /// thousandths of a core.
+    void set_kind(std::vector<std::string> labels, std::int64_t processor)
+    {
+        record_.labels = std::move(labels);
+        record_.capacity.processor = processor;
+    }
+
     /// Simulates a crash and a restart under the same id, which loses all
     /// state.
     void restart(std::int64_t started_ms)
--- a/libs/test_support/include/test_support/gateway_standin.hpp
+++ b/libs/test_support/include/test_support/gateway_standin.hpp
@@ -77,6 +77,8 @@
     std::set<std::string> started_jobs;
     /// Endpoint of the last start.
     std::string last_started_on;
+    /// Start orders that an endpoint rejected because they did not fit.
+    std::size_t rejected_for_room = 0;
 };
 
 /// The request with which a caller submits a job of equal tasks to the queue of
@@ -130,6 +132,12 @@
     /// loses all state.
     void restart_endpoint(std::string const& id);
 
+    /// The same, as an endpoint with these labels and this capacity, in
+    /// thousandths of a core.
+    void restart_endpoint_as(std::string const& id,
+                             std::vector<std::string> labels,
+                             std::int64_t processor);
+
     /// Writes the configuration with one queue, `/q/` at host `jobs.example`.
     void configure(std::int64_t version, milliseconds run_time);
 
--- a/libs/test_support/src/gateway_standin.cpp
+++ b/libs/test_support/src/gateway_standin.cpp
@@ -61,6 +61,10 @@
         {
             findings.unlisted_starts.push_back(task + " on " + id);
         };
+        shared_state->on_rejected_for_room = [this]
+        {
+            ++findings.rejected_for_room;
+        };
         shared_state->on_unlisted_renewal = [this](std::string const& id)
         {
             findings.unlisted_renewals.push_back(id);
@@ -131,6 +135,7 @@
     impl_->shared_state->on_started = ignore;
     impl_->shared_state->on_unlisted_start = ignore;
     impl_->shared_state->on_unlisted_renewal = [](std::string const&) {};
+    impl_->shared_state->on_rejected_for_room = [] {};
 }
 
 outcome<void> gateway_standin::start_store(std::uint16_t port)
@@ -153,6 +158,7 @@
     record.service = "orders";
     record.data_centre = data_centre;
     record.capacity = {16'000, 32'768, 0};
+    record.labels = {"a", "rack-1"};
     record.slots = 8;
     record.started_ms = unix_ms();
     auto const endpoint = std::make_shared<standin_endpoint>(
@@ -206,6 +212,14 @@
     impl_->register_endpoint(id);
 }
 
+void gateway_standin::restart_endpoint_as(std::string const& id,
+                                          std::vector<std::string> labels,
+                                          std::int64_t processor)
+{
+    impl_->endpoints.at(id)->restart_as(std::move(labels), processor);
+    impl_->register_endpoint(id);
+}
+
 void gateway_standin::configure(std::int64_t version, milliseconds run_time)
 {
     impl_->shared_state->run_time = run_time;
--- a/libs/test_support/src/standin_endpoint.cpp
+++ b/libs/test_support/src/standin_endpoint.cpp
@@ -100,7 +100,7 @@
     row["capacity"] = json::object{{"cpu", record.capacity.processor},
                                    {"mem_mb", record.capacity.memory_mb},
                                    {"gpu", record.capacity.accelerators}};
-    row["labels"] = json::array{"a", "rack-1"};
+    row["labels"] = json::value_from(record.labels);
     return json::serialize(row);
 }
 
@@ -124,6 +124,13 @@
     listen(port).value();
 }
 
+void standin_endpoint::restart_as(std::vector<std::string> labels,
+                                  std::int64_t processor)
+{
+    model_.set_kind(std::move(labels), processor);
+    restart();
+}
+
 std::size_t standin_endpoint::runs_of(std::string const& task)
 {
     return static_cast<std::size_t>(
@@ -206,7 +213,10 @@
     auto const max_runs = static_cast<std::size_t>(
         model_.record().capacity.processor / task_processor);
     if (model_.running() >= max_runs)
+    {
+        shared_state_->on_rejected_for_room();
         return refusal("room");
+    }
     auto const length = std::chrono::duration_cast<duration>(
         std::chrono::duration<double, std::milli>(shared_state_->run_time) /
         speed_);
--- a/libs/test_support/src/standin_endpoint.hpp
+++ b/libs/test_support/src/standin_endpoint.hpp
@@ -34,6 +34,8 @@
     /// Called for each list order with a lease or an acknowledgement that
     /// arrives at such a process.
     std::function<void(std::string const& endpoint)> on_unlisted_renewal;
+    /// Called for each start order that does not fit.
+    std::function<void()> on_rejected_for_room;
 
     /// True with this probability.
     bool chance(int percent);
@@ -72,6 +74,10 @@
     /// clock.
     void restart();
 
+    /// The same, as an endpoint with these labels and this capacity, in
+    /// thousandths of a core.
+    void restart_as(std::vector<std::string> labels, std::int64_t processor);
+
     /// Number of runs of the task that are at work.
     std::size_t runs_of(std::string const& task);
 
