--- a/libs/dispatch/include/dispatch/peer_types.hpp
+++ b/libs/dispatch/include/dispatch/peer_types.hpp
@@ -54,6 +54,13 @@
     milliseconds backlog{0};
     /// It takes no new jobs and hands its endpoints over.
     bool retiring = false;
+    /// Expected wait of a new job by the priority of its queue, from priority 0
+    /// on; the last one holds for all further priorities. Empty if unknown.
+    std::vector<milliseconds> waits;
+    /// The largest number of thousandths of a core free on one endpoint.
+    std::int64_t largest_free_processor = 0;
+    /// The cell's data centre is evacuated: nothing is started there.
+    bool evacuated = false;
 };
 
 /// The claim of a cell's dispatcher, and its address.
@@ -107,6 +114,9 @@
     std::optional<clock_reading> last_reading;
     /// Withdrawals that the receiver has not acknowledged.
     std::vector<job_withdrawal> withdrawals;
+    /// Version of the store at which the sender's list of evacuated data
+    /// centres was read last. 0: it has read none.
+    std::int64_t evacuations_version = 0;
 };
 
 } // namespace masticshift::dispatch
--- a/libs/gateway/src/peer_wire.cpp
+++ b/libs/gateway/src/peer_wire.cpp
@@ -24,6 +24,9 @@
 
 constexpr std::int64_t largest_sum = 1'000'000'000'000;
 
+/// Expected waits by priority that are read of a claim.
+constexpr std::size_t most_waits = 8;
+
 bool is_in_range(std::int64_t number, std::int64_t least, std::int64_t largest)
 {
     return number >= least && number <= largest;
@@ -118,17 +121,32 @@
     converted.free_processor = claim.free_processor;
     converted.retiring = claim.retiring;
     converted.backlog_ms = claim.backlog.count();
+    for (auto const& wait : claim.waits)
+        converted.waits_ms.push_back(wait.count());
+    converted.largest_free_processor = claim.largest_free_processor;
+    converted.evacuated = claim.evacuated;
     return converted;
 }
 
 dispatch::dispatch_claim from_wire(wire::dispatch_claim const& claim)
 {
-    return {claim.cell,
-            token_from_wire(claim.token),
-            std::clamp<std::int64_t>(claim.endpoints, 0, largest_amount),
-            std::clamp<std::int64_t>(claim.free_processor, 0, largest_sum),
-            time_from_wire(claim.backlog_ms),
-            claim.retiring};
+    dispatch::dispatch_claim converted{
+        claim.cell,
+        token_from_wire(claim.token),
+        std::clamp<std::int64_t>(claim.endpoints, 0, largest_amount),
+        std::clamp<std::int64_t>(claim.free_processor, 0, largest_sum),
+        time_from_wire(claim.backlog_ms),
+        claim.retiring};
+    for (auto const wait : claim.waits_ms)
+    {
+        if (converted.waits.size() == most_waits)
+            break;
+        converted.waits.push_back(time_from_wire(wait));
+    }
+    converted.largest_free_processor =
+        std::clamp<std::int64_t>(claim.largest_free_processor, 0, largest_sum);
+    converted.evacuated = claim.evacuated;
+    return converted;
 }
 
 } // namespace
@@ -171,6 +189,7 @@
     converted.clock_ms = heartbeat.clock.count();
     if (heartbeat.last_reading)
         converted.__set_last_reading(to_wire(*heartbeat.last_reading));
+    converted.evacuations_version = heartbeat.evacuations_version;
     for (auto const& each : heartbeat.withdrawals)
     {
         wire::withdrawn_job row;
@@ -206,6 +225,7 @@
     converted.clock = clock_from_wire(pulse.clock_ms);
     if (pulse.__isset.last_reading)
         converted.last_reading = from_wire(pulse.last_reading);
+    converted.evacuations_version = pulse.evacuations_version;
     for (auto const& row : pulse.withdrawals)
         converted.withdrawals.push_back({row.id, row.cell, row.submission});
     for (auto const& row : pulse.relayed)
@@ -230,6 +250,7 @@
     bool const in_range =
         is_in_range(pulse.highest_token, 0, largest_token) &&
         is_in_range(pulse.configuration_version, 0, largest_exact) &&
+        is_in_range(pulse.evacuations_version, 0, largest_exact) &&
         std::ranges::all_of(pulse.claims,
                             [](auto const& claim)
                             {
--- a/libs/peer_link/idl/masticshift.thrift
+++ b/libs/peer_link/idl/masticshift.thrift
@@ -198,6 +198,14 @@
   5: bool retiring
   // Time that all its endpoints together need for the waiting tasks.
   6: i64 backlog_ms
+  // Expected wait of a new job by the priority of its queue, from priority 0 on.
+  // The last one holds for all further priorities. Empty from entries that do not
+  // know it.
+  7: list<i64> waits_ms
+  // The largest number of thousandths of a core that is free on one endpoint.
+  8: i64 largest_free_processor
+  // The cell's data centre is evacuated: nothing is started on its endpoints.
+  9: bool evacuated
 }
 
 // A claim that another entry has sent.
@@ -239,6 +247,9 @@
   // from entries that do not know it.
   11: optional clock_reading last_reading
   12: list<withdrawn_job> withdrawals
+  // Version of the store at which the sender's list of evacuated data centres was
+  // read last. 0: it has read none.
+  13: i64 evacuations_version
 }
 
 struct pulse_reply {
@@ -337,6 +348,28 @@
   2: binary body
 }
 
+// Asks for the evacuated data centres that the receiver knows.
+struct fetch_evacuations {
+}
+
+struct fetch_evacuations_reply {
+  // Version of the store at which they were read. 0: none was read yet.
+  1: i64 version
+  2: list<string> data_centres
+}
+
+// A caller has cancelled a job: nothing of it is started any more.
+struct cancel_job {
+  1: string id
+  // Time since the caller's request.
+  2: i64 age_ms
+}
+
+struct cancel_job_reply {
+  // The receiver had an open job of this id, or knows that it was cancelled.
+  1: bool known
+}
+
 union message {
   1: heartbeat heartbeat_call
   2: heartbeat_reply heartbeat_answer
@@ -361,6 +394,10 @@
   21: share_speeds speeds_call
   22: relay_read relay_call
   23: relay_read_reply relay_answer
+  24: fetch_evacuations evacuations_call
+  25: fetch_evacuations_reply evacuations_answer
+  26: cancel_job cancel_call
+  27: cancel_job_reply cancel_answer
 }
 
 struct envelope {
--- a/libs/peer_link/include/peer_link/message_kind.hpp
+++ b/libs/peer_link/include/peer_link/message_kind.hpp
@@ -35,10 +35,14 @@
     release_call,
     speeds_call,
     relay_call,
-    relay_answer
+    relay_answer,
+    evacuations_call,
+    evacuations_answer,
+    cancel_call,
+    cancel_answer
 };
 
-constexpr std::size_t message_kind_count = 23;
+constexpr std::size_t message_kind_count = 27;
 
 /// The name of the member, as in the IDL.
 std::string_view name_of(message_kind kind);
@@ -75,6 +79,10 @@
 wire::message make_message(wire::share_speeds content);
 wire::message make_message(wire::relay_read content);
 wire::message make_message(wire::relay_read_reply content);
+wire::message make_message(wire::fetch_evacuations content);
+wire::message make_message(wire::fetch_evacuations_reply content);
+wire::message make_message(wire::cancel_job content);
+wire::message make_message(wire::cancel_job_reply content);
 
 } // namespace masticshift::peer_link
 
--- a/libs/peer_link/src/message_kind.cpp
+++ b/libs/peer_link/src/message_kind.cpp
@@ -12,28 +12,34 @@
 using enum message_kind;
 
 constexpr std::array<std::string_view, message_kind_count> names{
-    "heartbeat_call", "heartbeat_answer", "forward_call",
-    "forward_answer", "borrow_call",      "borrow_answer",
-    "give_back_call", "fetch_text_call",  "fetch_text_answer",
-    "handover_call",  "handover_answer",  "acknowledgement_answer",
-    "refusal_answer", "probe_call",       "pulse_call",
-    "pulse_answer",   "dispatch_call",    "dispatch_answer",
-    "withdraw_call",  "release_call",     "speeds_call",
-    "relay_call",     "relay_answer"};
+    "heartbeat_call",     "heartbeat_answer", "forward_call",
+    "forward_answer",     "borrow_call",      "borrow_answer",
+    "give_back_call",     "fetch_text_call",  "fetch_text_answer",
+    "handover_call",      "handover_answer",  "acknowledgement_answer",
+    "refusal_answer",     "probe_call",       "pulse_call",
+    "pulse_answer",       "dispatch_call",    "dispatch_answer",
+    "withdraw_call",      "release_call",     "speeds_call",
+    "relay_call",         "relay_answer",     "evacuations_call",
+    "evacuations_answer", "cancel_call",      "cancel_answer"};
 
 /// Whether each member is set, in the order of `message_kind`.
 std::array<bool, message_kind_count> members_set(wire::message const& content)
 {
     auto const& set = content.__isset;
-    return {
-        set.heartbeat_call, set.heartbeat_answer, set.forward_call,
-        set.forward_answer, set.borrow_call,      set.borrow_answer,
-        set.give_back_call, set.fetch_text_call,  set.fetch_text_answer,
-        set.handover_call,  set.handover_answer,  set.acknowledgement_answer,
-        set.refusal_answer, set.probe_call,       set.pulse_call,
-        set.pulse_answer,   set.dispatch_call,    set.dispatch_answer,
-        set.withdraw_call,  set.release_call,     set.speeds_call,
-        set.relay_call,     set.relay_answer};
+    return {set.heartbeat_call,     set.heartbeat_answer,
+            set.forward_call,       set.forward_answer,
+            set.borrow_call,        set.borrow_answer,
+            set.give_back_call,     set.fetch_text_call,
+            set.fetch_text_answer,  set.handover_call,
+            set.handover_answer,    set.acknowledgement_answer,
+            set.refusal_answer,     set.probe_call,
+            set.pulse_call,         set.pulse_answer,
+            set.dispatch_call,      set.dispatch_answer,
+            set.withdraw_call,      set.release_call,
+            set.speeds_call,        set.relay_call,
+            set.relay_answer,       set.evacuations_call,
+            set.evacuations_answer, set.cancel_call,
+            set.cancel_answer};
 }
 
 } // namespace
@@ -78,6 +84,10 @@
         return dispatch_answer;
     case relay_call:
         return relay_answer;
+    case evacuations_call:
+        return evacuations_answer;
+    case cancel_call:
+        return cancel_answer;
     case give_back_call:
     case withdraw_call:
     case release_call:
@@ -273,4 +283,36 @@
     return result;
 }
 
+wire::message make_message(wire::fetch_evacuations content)
+{
+    wire::message result;
+    result.evacuations_call = std::move(content);
+    result.__isset.evacuations_call = true;
+    return result;
+}
+
+wire::message make_message(wire::fetch_evacuations_reply content)
+{
+    wire::message result;
+    result.evacuations_answer = std::move(content);
+    result.__isset.evacuations_answer = true;
+    return result;
+}
+
+wire::message make_message(wire::cancel_job content)
+{
+    wire::message result;
+    result.cancel_call = std::move(content);
+    result.__isset.cancel_call = true;
+    return result;
+}
+
+wire::message make_message(wire::cancel_job_reply content)
+{
+    wire::message result;
+    result.cancel_answer = std::move(content);
+    result.__isset.cancel_answer = true;
+    return result;
+}
+
 } // namespace masticshift::peer_link
