--- a/libs/dispatch/include/dispatch/dispatcher.hpp
+++ b/libs/dispatch/include/dispatch/dispatcher.hpp
@@ -99,6 +99,10 @@
     /// dispatcher.
     std::size_t outranked() const;
 
+    /// Number of these that have accepted none of this dispatcher's tokens
+    /// since `begin`.
+    std::size_t outranked_since(time_point begin) const;
+
     /// Number of endpoints that respond and take work.
     std::size_t usable() const;
 
@@ -149,8 +153,9 @@
     void list_answered(std::string const& endpoint, list_order const& order,
                        run_list const& list, std::int64_t endpoint_clock,
                        time_point sent, time_point now);
+    /// `token`: that of the list order.
     void list_failed(std::string const& endpoint, order_response response,
-                     time_point now);
+                     time_point now, std::int64_t token = largest_token);
     /// Returns the order, which has not been sent yet, with the present token.
     /// Nothing if it must not be sent any more: its run is unwanted, or another
     /// process than the one that it assumes has answered a list.
--- a/libs/dispatch/include/dispatch/peer_roster.hpp
+++ b/libs/dispatch/include/dispatch/peer_roster.hpp
@@ -120,10 +120,8 @@
     /// of a process higher than those of its earlier incarnations.
     std::int64_t next_token(std::int64_t unix_seconds) const;
 
-    /// To be called when endpoints have rejected this entry's token in favour
-    /// of an unknown one. Each call doubles the distance of the next token from
-    /// the known ones.
-    void record_unknown_token();
+    /// This entry's token with that claim number.
+    std::int64_t token_of_claim(std::int64_t claim_number) const;
 
     /// Records a token that this entry uses, so that `next_token` is higher.
     void record_token(std::int64_t token);
@@ -259,7 +257,6 @@
     std::vector<dispatch_claim> claims_;
     std::int64_t configuration_version_ = 0;
     std::int64_t highest_token_ = 0;
-    std::int64_t token_step_ = 1;
     peer_liveness liveness_;
     origin_watch origins_;
     withdrawal_list withdrawals_;
--- a/libs/dispatch/src/dispatcher.cpp
+++ b/libs/dispatch/src/dispatcher.cpp
@@ -238,11 +238,18 @@
 }
 
 void dispatcher::impl::list_failed(std::string const& endpoint,
-                                   order_response response, time_point now)
+                                   order_response response, time_point now,
+                                   std::int64_t token)
 {
     auto* const account = find(endpoint);
     if (account == nullptr)
         return;
+    // A token that was raised since the list was sent may be accepted.
+    if (response == order_response::outranked && token < account->token())
+    {
+        endpoints_to_poll_.insert(endpoint);
+        return;
+    }
     decisions_.push_back(
         {"list_failed", {}, {}, endpoint, name_of(response), 0});
     // The next process may get a start that is in transit before it is listed,
--- a/libs/dispatch/src/dispatcher_impl.hpp
+++ b/libs/dispatch/src/dispatcher_impl.hpp
@@ -41,7 +41,7 @@
                        run_list const& list, std::int64_t endpoint_clock,
                        time_point sent, time_point now);
     void list_failed(std::string const& endpoint, order_response response,
-                     time_point now);
+                     time_point now, std::int64_t token);
     void start_answered(start_order const& order, order_response response,
                         std::optional<std::int64_t> endpoint_clock,
                         time_point now);
--- a/libs/dispatch/src/dispatcher_interface.cpp
+++ b/libs/dispatch/src/dispatcher_interface.cpp
@@ -48,6 +48,17 @@
         }));
 }
 
+std::size_t dispatcher::outranked_since(time_point begin) const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        impl_->accounts_,
+        [&](auto const& each)
+        {
+            return each.second->link() == endpoint_link::outranked &&
+                   !each.second->has_accepted_since(begin);
+        }));
+}
+
 std::size_t dispatcher::usable() const
 {
     return static_cast<std::size_t>(std::ranges::count_if(
@@ -135,9 +146,10 @@
 }
 
 void dispatcher::list_failed(std::string const& endpoint,
-                             order_response response, time_point now)
+                             order_response response, time_point now,
+                             std::int64_t token)
 {
-    impl_->list_failed(endpoint, response, now);
+    impl_->list_failed(endpoint, response, now, token);
 }
 
 std::optional<start_order> dispatcher::renew_unsent(start_order order)
--- a/libs/dispatch/src/endpoint_account.cpp
+++ b/libs/dispatch/src/endpoint_account.cpp
@@ -306,6 +306,8 @@
     // Until a complete list, runs of other dispatchers may be unknown here.
     if (link_ != endpoint_link::outranked && list.complete)
         link_ = endpoint_link::active;
+    if (order.token == token_)
+        accepted_ = now;
     for (auto const& ended : list.ended)
     {
         seen_end_ = std::max(seen_end_, ended.number);
--- a/libs/dispatch/src/endpoint_account.hpp
+++ b/libs/dispatch/src/endpoint_account.hpp
@@ -240,6 +240,11 @@
     /// A call got no usable response.
     void record_call_failure(time_point now);
     void record_outranked();
+    /// Whether a list with the present token was accepted at or after `begin`.
+    bool has_accepted_since(time_point begin) const
+    {
+        return accepted_ != time_point{} && accepted_ >= begin;
+    }
     /// A start order got no response and may still be in transit.
     void record_unanswered_start(time_point now);
     /// Another process than the one whose clock the lease was given by may have
@@ -316,6 +321,8 @@
     endpoint_record record_;
     std::int64_t token_ = 0;
     dispatch_limits limits_;
+    /// When a list with the present token was accepted last.
+    time_point accepted_{};
     endpoint_link link_ = endpoint_link::unread;
     lease_clock clock_;
     /// Start time of the process that answered the last list; 0 if unknown.
--- a/libs/dispatch/src/peer_roster.cpp
+++ b/libs/dispatch/src/peer_roster.cpp
@@ -16,9 +16,6 @@
 
 constexpr std::int64_t entry_mask = (std::int64_t(1) << token_entry_bits) - 1;
 
-/// Claims count from 2026, so that tokens stay exact as JSON numbers (53 bits).
-constexpr std::int64_t first_claim_second = 1'767'225'600;
-
 milliseconds since(time_point earlier, time_point now)
 {
     return std::chrono::duration_cast<milliseconds>(now - earlier);
@@ -226,18 +223,16 @@
 
 std::int64_t peer_roster::next_token(std::int64_t unix_seconds) const
 {
-    auto const claim =
-        std::max((highest_token_ >> token_claim_shift) + token_step_,
-                 std::max<std::int64_t>(unix_seconds - first_claim_second, 1));
-    auto const entry =
-        static_cast<std::int64_t>(stable_hash(self_.address)) & entry_mask;
-    return (claim << token_claim_shift) | entry;
+    return token_of_claim(std::max(claim_number_of(highest_token_) + 1,
+                                   claim_number_at(unix_seconds)));
 }
 
-void peer_roster::record_unknown_token()
+std::int64_t peer_roster::token_of_claim(std::int64_t claim_number) const
 {
-    constexpr std::int64_t largest_step = 1 << 20;
-    token_step_ = std::min(token_step_ * 2, largest_step);
+    auto const entry =
+        static_cast<std::int64_t>(stable_hash(self_.address)) & entry_mask;
+    return (std::min(claim_number, largest_claim_number) << token_claim_shift) |
+           entry;
 }
 
 void peer_roster::record_token(std::int64_t token)
--- a/libs/gateway/src/cell_manager.cpp
+++ b/libs/gateway/src/cell_manager.cpp
@@ -42,7 +42,8 @@
         for (auto const& [name, cell] : cells_)
         {
             cell->step(now);
-            busy = busy || cell->dispatcher().runs() > 0;
+            busy = busy || cell->dispatcher().runs() > 0 ||
+                   cell->is_searching_token();
         }
         request_records(now);
         update_claims();
--- a/libs/gateway/src/cell_runner.cpp
+++ b/libs/gateway/src/cell_runner.cpp
@@ -21,10 +21,6 @@
 /// How long a new dispatcher waits for the retiring one to release endpoints.
 constexpr milliseconds release_limit{4'000};
 
-/// Least time between two advances of the token, so that the responses to
-/// orders with the first one have arrived before the second.
-constexpr milliseconds token_advance_interval{300};
-
 /// A longer time between two steps means that the event loop is late.
 constexpr milliseconds longest_punctual_step{100};
 
@@ -168,14 +164,17 @@
 
 void cell_runner::advance_token(time_point now)
 {
-    if (dispatcher_->outranked() == 0 ||
-        now - token_advanced_ < token_advance_interval ||
-        state_.roster.was_paused(now) ||
+    dispatch::token_search::rejections const rejected{
+        dispatcher_->outranked(),
+        dispatcher_->outranked_since(token_search_.began())};
+    if (!token_search_.is_due(rejected, now) || state_.roster.was_paused(now) ||
         state_.roster.has_other_dispatcher(cell_, now))
         return;
-    token_advanced_ = now;
-    state_.roster.record_unknown_token();
-    auto const token = new_token(state_.roster);
+    auto const claim = token_search_.next_claim(
+        dispatch::claim_number_of(dispatcher_->token()),
+        dispatch::claim_number_at(unix_seconds()), now);
+    auto const token = state_.roster.token_of_claim(claim);
+    state_.roster.record_token(token);
     log_event(log_level::info, "token_raised",
               {{"cell", cell_},
                {"token", token},
--- a/libs/gateway/src/cell_runner.hpp
+++ b/libs/gateway/src/cell_runner.hpp
@@ -7,6 +7,7 @@
 #include <dispatch/cell_layout.hpp>
 #include <dispatch/dispatcher.hpp>
 #include <dispatch/response_timeout.hpp>
+#include <dispatch/token_search.hpp>
 #include <platform/run_codec.hpp>
 #include <transport/http_client.hpp>
 
@@ -69,6 +70,12 @@
         return *dispatcher_;
     }
 
+    /// Whether endpoints reject its token and the next one is to be tried soon.
+    bool is_searching_token() const
+    {
+        return token_search_.is_active();
+    }
+
     bool retiring() const
     {
         return retiring_;
@@ -189,7 +196,7 @@
     bool starts_held_ = false;
     time_point dispatching_since_{};
     time_point retiring_since_{};
-    time_point token_advanced_{};
+    dispatch::token_search token_search_;
     time_point speeds_shared_{};
     time_point origins_checked_{};
     time_point stepped_ = steady_clock::now();
--- a/libs/gateway/src/endpoint_io.cpp
+++ b/libs/gateway/src/endpoint_io.cpp
@@ -169,7 +169,8 @@
     catch_up_after_pause(steady_clock::now());
     if (made.decoded)
         co_return apply_list(endpoint, order, sent, made);
-    dispatcher_->list_failed(endpoint, made.response, steady_clock::now());
+    dispatcher_->list_failed(endpoint, made.response, steady_clock::now(),
+                             order.token);
     flush();
     co_return false;
 }
--- a/libs/gateway/src/peer_wire.cpp
+++ b/libs/gateway/src/peer_wire.cpp
@@ -1,6 +1,7 @@
 #include "peer_wire.hpp"
 
 #include <config/daemon_settings.hpp>
+#include <dispatch/token.hpp>
 
 #include <algorithm>
 
@@ -16,9 +17,6 @@
 constexpr std::int64_t longest_time_ms = 3'600'000;
 constexpr double largest_slack_factor = 1'000;
 
-/// Tokens are exact as JSON numbers, and the next higher one has to be too.
-constexpr std::int64_t largest_token = std::int64_t(1) << 52;
-
 /// Versions and incarnations are exact as JSON numbers.
 constexpr std::int64_t largest_exact = std::int64_t(1) << 53;
 
@@ -38,19 +36,17 @@
            is_in_range(entry.incarnation, 1, largest_exact);
 }
 
-bool is_valid(wire::dispatch_claim const& claim)
-{
-    return is_in_range(claim.token, 0, largest_token);
-}
-
 failure refused(std::string detail)
 {
     return {result_code::peer_protocol, std::move(detail)};
 }
 
+/// A token out of range counts as unknown. The message is used otherwise:
+/// entries that refused each other's heartbeats would never agree on who
+/// dispatches a cell.
 std::int64_t token_from_wire(std::int64_t token)
 {
-    return std::clamp<std::int64_t>(token, 0, largest_token);
+    return is_in_range(token, 0, dispatch::largest_token) ? token : 0;
 }
 
 milliseconds time_from_wire(std::int64_t ms)
@@ -248,16 +244,10 @@
     if (!is_valid(pulse.sender))
         return refused("a heartbeat without a valid sender");
     bool const in_range =
-        is_in_range(pulse.highest_token, 0, largest_token) &&
         is_in_range(pulse.configuration_version, 0, largest_exact) &&
-        is_in_range(pulse.evacuations_version, 0, largest_exact) &&
-        std::ranges::all_of(pulse.claims,
-                            [](auto const& claim)
-                            {
-                                return is_valid(claim);
-                            });
+        is_in_range(pulse.evacuations_version, 0, largest_exact);
     if (!in_range)
-        return refused("a heartbeat with a token or version out of range");
+        return refused("a heartbeat with a version out of range");
     auto valid = pulse;
     std::erase_if(valid.known,
                   [](auto const& entry)
@@ -267,7 +257,7 @@
     std::erase_if(valid.relayed,
                   [](auto const& row)
                   {
-                      return !is_valid(row.holder) || !is_valid(row.claim);
+                      return !is_valid(row.holder);
                   });
     return from_wire(valid);
 }
