--- a/libs/dispatch/include/dispatch/dispatcher.hpp
+++ b/libs/dispatch/include/dispatch/dispatcher.hpp
@@ -126,6 +126,10 @@
     void withdraw(std::string const& id, std::string const& origin,
                   time_point now);
 
+    /// Ends a job that its caller has cancelled, whatever its origin, and stops
+    /// its runs. Returns whether there was one.
+    bool cancel(std::string const& id, time_point now);
+
     /// Stops all jobs of an origin that counts as dead.
     void cancel_jobs_of_origin(std::string const& origin, time_point now);
 
--- a/libs/dispatch/include/dispatch/job.hpp
+++ b/libs/dispatch/include/dispatch/job.hpp
@@ -69,7 +69,10 @@
     /// No task has run or will run.
     refused,
     /// Tasks may have run. Their runs are stopped, or end with their leases.
-    unknown
+    unknown,
+    /// Its caller has cancelled it after a start was ordered. Its runs are
+    /// stopped.
+    cancelled
 };
 
 char const* name_of(job_end end);
@@ -98,7 +101,13 @@
     /// Too many endpoints have crashed while they ran one of its tasks.
     endpoints_crashed,
     /// It was on its way for so long that its entry may have given it up.
-    outdated
+    outdated,
+    /// Its caller has cancelled it.
+    cancelled,
+    /// Nothing may be started in the data centre.
+    evacuated,
+    /// It gave way to a job that is costlier to delay.
+    displaced
 };
 
 char const* name_of(end_reason reason);
--- a/libs/dispatch/src/dispatcher_impl.hpp
+++ b/libs/dispatch/src/dispatcher_impl.hpp
@@ -26,6 +26,7 @@
     void submit(job_spec spec, std::string origin, time_point now);
     void withdraw(std::string const& id, std::string const& origin,
                   time_point now);
+    bool cancel(std::string const& id, time_point now);
     void cancel_jobs_of_origin(std::string const& origin, time_point now);
     void end_all_jobs(time_point now);
     void advance_token(std::int64_t token);
--- a/libs/dispatch/src/dispatcher_interface.cpp
+++ b/libs/dispatch/src/dispatcher_interface.cpp
@@ -96,6 +96,11 @@
     impl_->withdraw(id, origin, now);
 }
 
+bool dispatcher::cancel(std::string const& id, time_point now)
+{
+    return impl_->cancel(id, now);
+}
+
 void dispatcher::cancel_jobs_of_origin(std::string const& origin,
                                        time_point now)
 {
--- a/libs/dispatch/src/dispatcher_jobs.cpp
+++ b/libs/dispatch/src/dispatcher_jobs.cpp
@@ -279,6 +279,21 @@
     place(now);
 }
 
+bool dispatcher::impl::cancel(std::string const& id, time_point now)
+{
+    auto const found = jobs_.find(id);
+    if (found == jobs_.end())
+        return false;
+    auto const job = found->second;
+    bool const started = job->start_ordered || has_live_runs(*job);
+    finish(job,
+           {started ? job_end::cancelled : job_end::refused,
+            end_reason::cancelled},
+           now);
+    place(now);
+    return true;
+}
+
 void dispatcher::impl::cancel_jobs_of_origin(std::string const& origin,
                                              time_point now)
 {
--- a/libs/dispatch/src/job.cpp
+++ b/libs/dispatch/src/job.cpp
@@ -8,12 +8,14 @@
 namespace
 {
 
-constexpr std::array end_names{"completed", "failed", "refused", "unknown"};
+constexpr std::array end_names{"completed", "failed", "refused", "unknown",
+                               "cancelled"};
 
 constexpr std::array reason_names{
     "none",        "attempts_exhausted", "never_fits",        "overloaded",
     "withdrawn",   "superseded",         "not_dispatcher",    "endpoint_lost",
-    "out_of_time", "busy_cell",          "endpoints_crashed", "outdated"};
+    "out_of_time", "busy_cell",          "endpoints_crashed", "outdated",
+    "cancelled",   "evacuated",          "displaced"};
 
 } // namespace
 
--- a/libs/gateway/src/cell_manager.cpp
+++ b/libs/gateway/src/cell_manager.cpp
@@ -254,6 +254,9 @@
         co_return dispatch::job_result{dispatch::job_end::refused,
                                        dispatch::end_reason::withdrawn};
     }
+    if (state_.cancelled.contains(job.id, steady_clock::now()))
+        co_return dispatch::job_result{dispatch::job_end::refused,
+                                       dispatch::end_reason::cancelled};
     auto const found = cells_.find(cell);
     if (found == cells_.end())
         co_return dispatch::job_result{dispatch::job_end::refused,
@@ -273,6 +276,15 @@
         found->second->withdraw(id, origin, submission);
 }
 
+bool cell_manager::cancel(std::string const& id, time_point requested,
+                          time_point now)
+{
+    bool known = !state_.cancelled.record(id, requested, now);
+    for (auto const& [name, cell] : cells_)
+        known = cell->cancel(id) || known;
+    return known;
+}
+
 void cell_manager::accept_released(std::string const& cell,
                                    std::vector<std::string> const& endpoints,
                                    bool last)
--- a/libs/gateway/src/cell_manager.hpp
+++ b/libs/gateway/src/cell_manager.hpp
@@ -45,6 +45,10 @@
                   dispatch::entry_identity const& origin,
                   std::int64_t submission);
 
+    /// Ends a job that its caller has cancelled, in whichever cell it is, and
+    /// refuses it from then on. Returns whether it was known.
+    bool cancel(std::string const& id, time_point requested, time_point now);
+
     void accept_released(std::string const& cell,
                          std::vector<std::string> const& endpoints, bool last);
 
--- a/libs/gateway/src/cell_runner.cpp
+++ b/libs/gateway/src/cell_runner.cpp
@@ -355,6 +355,13 @@
     flush();
 }
 
+bool cell_runner::cancel(std::string const& id)
+{
+    bool const found = dispatcher_->cancel(id, steady_clock::now());
+    flush();
+    return found;
+}
+
 void cell_runner::cancel_jobs_of_lost_origins(time_point now)
 {
     if (now - origins_checked_ < dispatch::origin_check_interval)
--- a/libs/gateway/src/cell_runner.hpp
+++ b/libs/gateway/src/cell_runner.hpp
@@ -43,6 +43,10 @@
     /// Withdraws a job, unless its origin has submitted it again since.
     void withdraw(std::string const& id, dispatch::entry_identity const& origin,
                   std::int64_t submission);
+
+    /// Ends a job that its caller has cancelled. Returns whether there was one.
+    bool cancel(std::string const& id);
+
     void update_endpoint(dispatch::endpoint_record const& record);
     void remove_endpoint(std::string const& id);
 
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -128,7 +128,8 @@
           store_(state_, store_client_, peer_client_),
           cell_manager_(state_, endpoint_client_, peer_client_),
           exchange_(state_, peer_client_, cell_manager_, store_),
-          job_service_(state_, peer_client_, cell_manager_),
+          cancellations_(state_, peer_client_, cell_manager_),
+          job_service_(state_, peer_client_, cell_manager_, cancellations_),
           configuration_(state_, store_, peer_client_),
           endpoints_(state_, store_,
                      [this]
@@ -252,6 +253,11 @@
                    {
                        return cell_manager_.run();
                    });
+        loops_.add("cancellations",
+                   [this]
+                   {
+                       return cancellations_.run();
+                   });
         loops_.add("log",
                    []
                    {
@@ -355,6 +361,7 @@
     store_client store_;
     cell_manager cell_manager_;
     peer_exchange exchange_;
+    cancellation_service cancellations_;
     job_service job_service_;
     configuration_watch configuration_;
     endpoint_watch endpoints_;
--- a/libs/gateway/src/gateway_metrics.hpp
+++ b/libs/gateway/src/gateway_metrics.hpp
@@ -26,6 +26,13 @@
     metrics::counter& rejected_calls = registry.get_counter(
         "masticshift_rejected_calls_total",
         "Calls of callers that were answered without a job");
+    /// `outcome`: what was known of the job.
+    metrics::counter& cancellations(std::string const& outcome)
+    {
+        return registry.get_counter("masticshift_cancellations_total",
+                                    "Jobs that callers have cancelled",
+                                    {{"outcome", outcome}});
+    }
     metrics::counter& callers_gone = registry.get_counter(
         "masticshift_callers_gone_total",
         "Callers that closed their connection before the answer");
--- a/libs/gateway/src/gateway_state.hpp
+++ b/libs/gateway/src/gateway_state.hpp
@@ -6,6 +6,7 @@
 #include "input_delay.hpp"
 
 #include <config/gateway_settings.hpp>
+#include <dispatch/cancelled_jobs.hpp>
 #include <dispatch/configuration.hpp>
 #include <dispatch/endpoint_registry.hpp>
 #include <dispatch/peer_roster.hpp>
@@ -36,6 +37,7 @@
     /// Speeds of VMs, learnt by this entry's dispatchers or received from
     /// peers.
     std::unordered_map<std::string, double> learnt_speeds;
+    dispatch::cancelled_jobs cancelled;
     input_delay input;
     caller_watch callers;
     /// Whether this entry drains.
--- a/libs/gateway/src/job_service.cpp
+++ b/libs/gateway/src/job_service.cpp
@@ -108,8 +108,14 @@
         // A job is answered only with its result, so there is no queue of
         // accepted jobs that wait.
         co_return platform::encode_waiting_count(0);
-    case platform::caller_call::read_state:
     case platform::caller_call::cancel:
+    {
+        auto id = platform::job_id_of(call.path, queue.path_prefix);
+        if (!id.empty())
+            co_return co_await cancel(std::move(id));
+        [[fallthrough]];
+    }
+    case platform::caller_call::read_state:
         co_return reject(platform::encode_no_such_job(), call,
                          result_code::unknown_id, "a gateway stores no jobs");
     case platform::caller_call::other:
@@ -184,6 +190,14 @@
     return true;
 }
 
+asio::awaitable<transport::http_response> job_service::cancel(std::string id)
+{
+    auto const outcome = co_await cancellations_.cancel(std::move(id));
+    co_return outcome == cancellation_outcome::unknown
+        ? platform::encode_no_such_job()
+        : platform::encode_cancelled();
+}
+
 asio::awaitable<dispatch::job_result> job_service::dispatch(submission_ptr job)
 {
     dispatch::job_result refusal{dispatch::job_end::refused,
@@ -191,6 +205,9 @@
                                  no_dispatcher_retry};
     while (is_wanted(*job))
     {
+        if (state_.cancelled.contains(job->job.id, steady_clock::now()))
+            co_return dispatch::job_result{dispatch::job_end::refused,
+                                           dispatch::end_reason::cancelled};
         if (choose_cell(*job))
         {
             auto const result = co_await call_dispatcher(job);
--- a/libs/gateway/src/job_service.hpp
+++ b/libs/gateway/src/job_service.hpp
@@ -1,6 +1,7 @@
 #ifndef MASTICSHIFT_GATEWAY_JOB_SERVICE_HPP
 #define MASTICSHIFT_GATEWAY_JOB_SERVICE_HPP
 
+#include "cancellation_service.hpp"
 #include "cell_manager.hpp"
 
 #include <platform/job_codec.hpp>
@@ -18,8 +19,11 @@
 {
 public:
     job_service(gateway_state& state, peer_link::peer_client& peers,
-                cell_manager& manager)
-        : state_(state), peers_(peers), cell_manager_(manager)
+                cell_manager& manager, cancellation_service& cancellations)
+        : state_(state),
+          peers_(peers),
+          cell_manager_(manager),
+          cancellations_(cancellations)
     {
     }
 
@@ -46,6 +50,7 @@
     submit(transport::http_request request,
            platform::caller_request const& call,
            dispatch::queue_settings const& queue);
+    asio::awaitable<transport::http_response> cancel(std::string id);
     asio::awaitable<dispatch::job_result> dispatch(submission_ptr job);
     asio::awaitable<dispatch::job_result> call_dispatcher(submission_ptr job);
     bool choose_cell(submission& job);
@@ -66,6 +71,7 @@
     gateway_state& state_;
     peer_link::peer_client& peers_;
     cell_manager& cell_manager_;
+    cancellation_service& cancellations_;
     std::size_t open_jobs_ = 0;
     std::int64_t last_submission_ = 0;
     bool closed_ = false;
--- a/libs/gateway/src/peer_exchange.cpp
+++ b/libs/gateway/src/peer_exchange.cpp
@@ -204,6 +204,16 @@
                                from_wire(call.withdraw_call.origin),
                                call.withdraw_call.submission);
         break;
+    case cancel_call:
+    {
+        auto const age = std::clamp<std::int64_t>(
+            call.cancel_call.age_ms, 0,
+            dispatch::cancelled_jobs::retention.count());
+        wire::cancel_job_reply reply;
+        reply.known = cell_manager_.cancel(call.cancel_call.id,
+                                           now - milliseconds(age), now);
+        co_return peer_link::make_message(reply);
+    }
     case release_call:
         cell_manager_.accept_released(call.release_call.cell,
                                       call.release_call.endpoints,
--- a/libs/gateway/src/peer_wire.cpp
+++ b/libs/gateway/src/peer_wire.cpp
@@ -342,9 +342,9 @@
 {
     dispatch::job_result converted;
     constexpr auto last_end =
-        static_cast<std::int32_t>(dispatch::job_end::unknown);
+        static_cast<std::int32_t>(dispatch::job_end::cancelled);
     constexpr auto last_reason =
-        static_cast<std::int32_t>(dispatch::end_reason::outdated);
+        static_cast<std::int32_t>(dispatch::end_reason::displaced);
     if (reply.outcome >= 0 && reply.outcome <= last_end)
         converted.end = static_cast<dispatch::job_end>(reply.outcome);
     if (reply.reason >= 0 && reply.reason <= last_reason)
--- a/libs/gateway/tests/deployment.hpp
+++ b/libs/gateway/tests/deployment.hpp
@@ -189,6 +189,21 @@
         return answer;
     }
 
+    std::shared_ptr<pending_answer> cancel(std::size_t number, unsigned id)
+    {
+        std::array<char, 17> name{};
+        std::snprintf(name.data(), name.size(), "%016x", id);
+        transport::http_request request;
+        request.method = "DELETE";
+        request.target = std::string("/q/") + name.data();
+        request.fields.set("Host", "jobs.example");
+        auto answer = std::make_shared<pending_answer>();
+        auto const address = entries_[number].settings.gateway.caller_address;
+        boost::asio::co_spawn(context_, send(client_, address, request, answer),
+                              boost::asio::detached);
+        return answer;
+    }
+
 private:
     struct entry_state
     {
