--- a/libs/dispatch/include/dispatch/dispatcher.hpp
+++ b/libs/dispatch/include/dispatch/dispatcher.hpp
@@ -113,6 +113,14 @@
     /// How long all usable endpoints together need for the waiting tasks.
     duration backlog() const;
 
+    /// Expected wait of a new job by the priority of its queue, as in
+    /// `dispatch_claim::waits`. Empty while it is not known.
+    std::vector<milliseconds> expected_waits(time_point now) const;
+
+    /// The largest number of thousandths of a core that is free on one endpoint
+    /// that takes work.
+    std::int64_t largest_free_processor() const;
+
     /// Takes a job. `take_finished` returns it after it has ended. If a job of
     /// the same id is still open, that one ends as superseded, and the new one
     /// waits for its runs to stop. A job of an id that was completed recently
--- a/libs/dispatch/src/dispatcher_interface.cpp
+++ b/libs/dispatch/src/dispatcher_interface.cpp
@@ -79,6 +79,16 @@
     return impl_->backlog();
 }
 
+std::vector<milliseconds> dispatcher::expected_waits(time_point) const
+{
+    return {};
+}
+
+std::int64_t dispatcher::largest_free_processor() const
+{
+    return std::max<std::int64_t>(impl_->largest_free(), 0);
+}
+
 void dispatcher::submit(job_spec spec, std::string origin, time_point now)
 {
     impl_->submit(std::move(spec), std::move(origin), now);
--- a/libs/gateway/src/cell_runner.cpp
+++ b/libs/gateway/src/cell_runner.cpp
@@ -259,6 +259,8 @@
         dispatcher_->waiting_tasks() > 0 ? 0 : dispatcher_->free_processor(now);
     claim.backlog = std::chrono::ceil<milliseconds>(dispatcher_->backlog());
     claim.retiring = retiring_;
+    claim.waits = dispatcher_->expected_waits(now);
+    claim.largest_free_processor = dispatcher_->largest_free_processor();
     return claim;
 }
 
