Waiting jobs are ordered by fair shares of the priorities; early displacement

Cause: with twice the traffic or half of the endpoints, jobs of priority 0 are served worst, because the priority decides nothing: jobs of all priorities wait by their latest start alone.

Change: libs/overload has start-time fair queueing by work between the priorities (weights 4, 2, 1, ...) and an estimate of the demand by priority. Within a priority jobs still wait by latest start. Started jobs still come first and late ones last. The expected wait of a job takes into account the work that is ordered before it and the arrivals of other priorities; a job that makes less urgent ones miss their objective refuses those of them that have waited for less than a quarter of the time to it (`displaced`). `expected_waits` is filled by priority. With a single priority everything is as before.

Ruled out: strict priority, which starves; the latest start over all priorities, which is the cause.

--- a/libs/dispatch/src/dispatcher_impl.hpp
+++ b/libs/dispatch/src/dispatcher_impl.hpp
@@ -7,6 +7,7 @@
 #include "wait_queue.hpp"
 
 #include <dispatch/dispatcher.hpp>
+#include <overload/demand_estimator.hpp>
 
 #include <deque>
 #include <set>
@@ -60,7 +61,39 @@
     duration chain_time(job_spec const& spec) const;
     std::optional<job_result> refusal_of(tracked_job const& job,
                                          time_point now);
-    duration estimated_wait(tracked_job const& job, duration slack) const;
+    /// Work that is expected to be done before a job, as the time that all
+    /// endpoints need for it.
+    struct expected_wait
+    {
+        duration total{0};
+        /// Parts of it: jobs that have been started, and waiting ones of the
+        /// job's own priority.
+        duration started{0};
+        duration own_class{0};
+    };
+
+    /// Expected wait of a job in the queue until its first start. Not exact
+    /// beyond twice its `slack`.
+    duration estimated_wait(tracked_job const& job, duration slack,
+                            time_point now) const;
+    /// Adds a job that comes before the one in question. Returns its work, for
+    /// the shares of the priorities.
+    double add_ahead(expected_wait& wait, wait_queue::key const& key,
+                     tracked_job const& ahead, int priority,
+                     std::int64_t capacity) const;
+    /// The wait when work of other priorities continues to arrive.
+    duration with_arrivals(expected_wait const& wait, int priority,
+                           std::int64_t capacity, time_point now) const;
+    duration wait_of_new(int priority, time_point now) const;
+    std::vector<milliseconds> expected_waits(time_point now) const;
+    /// How long a wait that is too long by `excess` is expected to remain so.
+    duration time_to_drain(duration excess, time_point now) const;
+    duration retry_after_late(int priority, time_point now) const;
+    /// Refuses waiting jobs of less urgent priorities that will miss their
+    /// objective behind the new job, while that is early.
+    void displace(tracked_job const& newcomer, time_point now);
+    bool may_be_displaced(wait_queue::key const& key, tracked_job const& job,
+                          tracked_job const& newcomer, time_point now) const;
     duration backlog() const;
     /// Total thousandths of a core, in use or free, of endpoints that take work
     /// or are about to.
@@ -142,6 +175,7 @@
     speed_estimator speeds_;
     account_map accounts_;
     wait_queue queue_;
+    overload::demand_estimator demand_;
     std::unordered_map<std::string, job_ptr> jobs_;
     std::vector<start_order> starts_;
     std::vector<stop_order> stops_;
--- a/libs/dispatch/src/dispatcher_interface.cpp
+++ b/libs/dispatch/src/dispatcher_interface.cpp
@@ -79,9 +79,9 @@
     return impl_->backlog();
 }
 
-std::vector<milliseconds> dispatcher::expected_waits(time_point) const
+std::vector<milliseconds> dispatcher::expected_waits(time_point now) const
 {
-    return {};
+    return impl_->expected_waits(now);
 }
 
 std::int64_t dispatcher::largest_free_processor() const
--- a/libs/dispatch/src/dispatcher_jobs.cpp
+++ b/libs/dispatch/src/dispatcher_jobs.cpp
@@ -13,6 +13,14 @@
 /// the time to its objective, so that a refusal still comes early.
 constexpr int recheck_divisor = 4;
 
+/// The least part of the capacity by which a shortage is taken to decrease.
+/// More arrives than can be served at times, and the shortage ends later with
+/// the arrivals.
+constexpr double min_drain_rate = 0.2;
+
+/// Bound of the number of expected waits, as in a claim.
+constexpr int max_claimed_waits = 8;
+
 /// The average need of a task covers about this many tasks.
 constexpr int need_samples = 16;
 
@@ -28,6 +36,12 @@
 /// after a lost answer, and sometimes seconds after an answer that arrived.
 constexpr milliseconds completed_retention{15'000};
 
+/// A refusal after this time costs the caller more than an earlier one.
+time_point early_end(tracked_job const& job)
+{
+    return job.accepted + (job.objective - job.accepted) / recheck_divisor;
+}
+
 job_result refused(end_reason reason, duration wait)
 {
     auto const pause =
@@ -123,14 +137,17 @@
         finish(job, {job_end::refused, end_reason::busy_cell}, now);
         return;
     }
+    // Its position in the queue decides how long it would wait.
+    enqueue(job, now);
     auto const refusal = refusal_of(*job, now);
     if (refusal)
     {
         finish(job, *refusal, now);
         return;
     }
-    enqueue(job, now);
+    demand_.add(job->spec.priority, to_milliseconds(waiting_work(*job)), now);
     place(now);
+    displace(*job, now);
 }
 
 std::optional<job_result> dispatcher::impl::refusal_of(tracked_job const& job,
@@ -156,29 +173,143 @@
     if (all_leave)
         return refused(end_reason::overloaded, leaving_retry_after);
     auto const slack = job.objective - now - chain_time(job.spec);
-    auto const wait = estimated_wait(job, slack);
+    auto const wait = estimated_wait(job, slack, now);
     if (wait > slack && !can_start_all(job, time_point::max(), now))
-        return refused(end_reason::overloaded, wait - slack);
+        return refused(end_reason::overloaded,
+                       time_to_drain(wait - slack, now));
     return std::nullopt;
 }
 
 duration dispatcher::impl::estimated_wait(tracked_job const& job,
-                                          duration slack) const
+                                          duration slack, time_point now) const
+{
+    auto const capacity = usable_processor();
+    if (capacity <= 0 || slack <= duration(0))
+        return {};
+    expected_wait wait;
+    queue_.visit(
+        [&](auto const& each) -> std::optional<double>
+        {
+            if (each.second.get() == &job || wait.total > 2 * slack)
+                return std::nullopt;
+            return add_ahead(wait, each.first, *each.second, job.spec.priority,
+                             capacity);
+        });
+    return with_arrivals(wait, job.spec.priority, capacity, now);
+}
+
+double dispatcher::impl::add_ahead(expected_wait& wait,
+                                   wait_queue::key const& key,
+                                   tracked_job const& ahead, int priority,
+                                   std::int64_t capacity) const
+{
+    auto const work = waiting_work(ahead);
+    wait.total += work / capacity;
+    if (key.rank == wait_class::started)
+        wait.started += work / capacity;
+    else if (ahead.spec.priority == priority)
+        wait.own_class += work / capacity;
+    return to_milliseconds(work);
+}
+
+duration dispatcher::impl::with_arrivals(expected_wait const& wait,
+                                         int priority, std::int64_t capacity,
+                                         time_point now) const
+{
+    if (!demand_.mixed() || wait.own_class == duration(0))
+        return wait.total;
+    auto const all = static_cast<double>(capacity);
+    auto const rate = demand_.rate(priority, all, now);
+    auto const own_class =
+        std::chrono::duration_cast<duration>(wait.own_class * (all / rate));
+    return std::max(wait.total, wait.started + own_class);
+}
+
+duration dispatcher::impl::wait_of_new(int priority, time_point now) const
 {
     auto const capacity = usable_processor();
     if (capacity <= 0)
         return {};
-    auto const chain = chain_time(job.spec);
-    wait_queue::key const place{wait_class::in_time, job.objective - chain,
-                                job.number};
+    expected_wait wait;
+    queue_.visit_ahead_of_new(priority,
+                              [&](auto const& each) -> std::optional<double>
+                              {
+                                  return add_ahead(wait, each.first,
+                                                   *each.second, priority,
+                                                   capacity);
+                              });
+    return with_arrivals(wait, priority, capacity, now);
+}
+
+std::vector<milliseconds> dispatcher::impl::expected_waits(time_point now) const
+{
+    std::vector<milliseconds> waits;
+    if (!demand_.mixed() || usable_processor() <= 0)
+        return waits;
+    auto const last = std::min(demand_.last_priority(), max_claimed_waits - 1);
+    for (int priority = 0; priority <= last; ++priority)
+        waits.push_back(
+            std::chrono::ceil<milliseconds>(wait_of_new(priority, now)));
+    return waits;
+}
+
+duration dispatcher::impl::time_to_drain(duration excess, time_point now) const
+{
+    auto const capacity = usable_processor();
+    if (!demand_.mixed() || capacity <= 0)
+        return excess;
+    auto const load = demand_.total(now) / static_cast<double>(capacity);
+    return std::chrono::duration_cast<duration>(
+        excess / std::max(1 - load, min_drain_rate));
+}
+
+void dispatcher::impl::displace(tracked_job const& newcomer, time_point now)
+{
+    auto const capacity = usable_processor();
+    if (newcomer.waiting_tasks == 0 || newcomer.ended || capacity <= 0 ||
+        !demand_.mixed())
+        return;
+    std::vector<std::pair<job_ptr, duration>> displaced;
     duration wait{0};
-    for (auto const& [key, ahead] : queue_.jobs())
-    {
-        if (!(key < place) || wait > 2 * slack)
-            break;
-        wait += waiting_work(*ahead) / capacity;
-    }
-    return wait;
+    bool behind = false;
+    queue_.visit(
+        [&](auto const& each) -> std::optional<double>
+        {
+            auto const& [key, job] = each;
+            if (key.rank == wait_class::late)
+                return std::nullopt;
+            behind = behind || job.get() == &newcomer;
+            auto const excess = now + wait - key.latest_start;
+            if (behind && excess > duration(0) &&
+                may_be_displaced(key, *job, newcomer, now))
+            {
+                displaced.emplace_back(job, excess);
+                return 0.0;
+            }
+            auto const work = waiting_work(*job);
+            wait += work / capacity;
+            return to_milliseconds(work);
+        });
+    for (auto const& [job, excess] : displaced)
+        finish(job, refused(end_reason::displaced, time_to_drain(excess, now)),
+               now);
+}
+
+bool dispatcher::impl::may_be_displaced(wait_queue::key const& key,
+                                        tracked_job const& job,
+                                        tracked_job const& newcomer,
+                                        time_point now) const
+{
+    return key.rank == wait_class::in_time &&
+           job.spec.priority > newcomer.spec.priority && now < early_end(job) &&
+           !has_live_runs(job);
+}
+
+duration dispatcher::impl::retry_after_late(int priority, time_point now) const
+{
+    if (!demand_.mixed())
+        return min_retry_after;
+    return time_to_drain(wait_of_new(priority, now), now);
 }
 
 duration dispatcher::impl::backlog() const
@@ -333,18 +464,19 @@
     std::vector<job_ptr> late;
     for (auto const& [key, job] : queue_.jobs())
     {
-        auto const early =
-            job->accepted + (job->objective - job->accepted) / recheck_divisor;
         // `place` has already tried to start the late job on idle endpoints.
         if (key.rank == wait_class::late)
             late.push_back(job);
         else if (key.rank == wait_class::in_time &&
                  (now > key.latest_start ||
-                  (!job->wait_checked && now >= early)))
+                  (!job->wait_checked && now >= early_end(*job))))
             due.push_back(job);
     }
     for (auto const& job : late)
-        finish(job, refused(end_reason::overloaded, min_retry_after), now);
+        finish(job,
+               refused(end_reason::overloaded,
+                       retry_after_late(job->spec.priority, now)),
+               now);
     for (auto const& job : due)
     {
         if (!std::exchange(job->wait_checked, true))
--- a/libs/dispatch/src/dispatcher_placement.cpp
+++ b/libs/dispatch/src/dispatcher_placement.cpp
@@ -85,27 +85,35 @@
     auto largest = largest_free();
     std::vector<job_ptr> placed;
     std::vector<job_ptr> started;
-    for (auto const& [key, job] : queue_.jobs())
-    {
-        auto const& step = job->spec.steps.front();
-        if (largest <= 0)
-            break;
-        if (job->spec.steps.size() == 1 && step.need.processor > largest)
-            continue;
-        // A late job must not take capacity from jobs that are in time, unless
-        // all its first tasks can start.
-        if (key.rank == wait_class::late &&
-            !can_start_all(*job, time_point::max(), now))
-            continue;
-        auto const before = job->waiting_tasks;
-        place_job(job, now);
-        if (job->waiting_tasks != before)
+    queue_.visit(
+        [&](auto const& each) -> std::optional<double>
+        {
+            auto const& [key, job] = each;
+            auto const& step = job->spec.steps.front();
+            if (largest <= 0)
+                return std::nullopt;
+            if (job->spec.steps.size() == 1 && step.need.processor > largest)
+                return 0.0;
+            // A late job must not take capacity from jobs that are in time,
+            // unless all its first tasks can start.
+            if (key.rank == wait_class::late &&
+                !can_start_all(*job, time_point::max(), now))
+                return 0.0;
+            auto const before = job->waiting_tasks;
+            auto const work = to_milliseconds(waiting_work(*job));
+            place_job(job, now);
+            if (job->waiting_tasks == before)
+                return 0.0;
             largest = largest_free();
-        if (job->waiting_tasks == 0)
-            placed.push_back(job);
-        else if (job->start_ordered && key.rank != wait_class::started)
-            started.push_back(job);
-    }
+            if (job->waiting_tasks == 0)
+                placed.push_back(job);
+            else if (job->start_ordered && key.rank != wait_class::started)
+                started.push_back(job);
+            if (key.rank != wait_class::in_time)
+                return 0.0;
+            queue_.charge(key.priority, work);
+            return work;
+        });
     for (auto const& job : placed)
         queue_.remove(*job);
     for (auto const& job : started)
