Nothing starts in an evacuated data centre; its jobs go to other cells

Cause: an operator had no way to stop starts in a data centre. Rows evacuate/DATA_CENTRE of the store's table op had no effect.

Change: configuration_watch reads these rows with the configuration (platform/ decodes the key) into evacuation_list, which never goes back to an older version of the store. Active runs go on and their leases are renewed. Claims say evacuated, and entries choose other cells at once.

Ruled out: to end all begun jobs at once. A job whose tasks all run can still complete.

Not yet: holding starts until the list was read, peers, result code 211, cold endpoints, status and docs, soak.

--- a/libs/dispatch/include/dispatch/cell_choice.hpp
+++ b/libs/dispatch/include/dispatch/cell_choice.hpp
@@ -29,13 +29,17 @@
     std::set<std::string> busy;
     /// Refused it because it would end too late there (`overloaded`).
     std::set<std::string> overloaded;
+    /// Refused it because their data centre is evacuated. The claims that say
+    /// so arrive later.
+    std::set<std::string> evacuated;
 };
 
 /// Chooses the cell for a job. Cells of the entry's own data centre come first,
 /// then the cells that report the most free capacity; each takes the job only
 /// if it can start it at once. After a few of these the job goes to the cell
 /// with the smallest backlog and waits there. Returns nothing if no cell has a
-/// dispatcher, or if too many cells have refused the job as overloaded.
+/// dispatcher, if all of them are evacuated, or if too many cells have refused
+/// the job as overloaded.
 std::optional<chosen_cell>
 choose_cell(std::vector<cell_dispatcher> const& cells,
             std::string const& data_centre, job_spec const& job,
--- a/libs/dispatch/include/dispatch/dispatcher.hpp
+++ b/libs/dispatch/include/dispatch/dispatcher.hpp
@@ -150,6 +150,11 @@
     /// of the endpoints are too old then. No limit by default.
     void use_records_until(time_point end);
 
+    /// Sets whether the data centre of the endpoints is evacuated. While it is,
+    /// nothing is started: waiting jobs end with `evacuated`, as refused if
+    /// nothing of them was started. Active runs go on.
+    void set_evacuated(bool evacuated, time_point now);
+
     /// Whether a process has answered whose record is not known, so that the
     /// records should be read again. No work is placed there until then.
     bool needs_records(time_point now) const;
@@ -169,8 +174,9 @@
     void list_failed(std::string const& endpoint, order_response response,
                      time_point now, std::int64_t token = largest_token);
     /// Returns the order, which has not been sent yet, with the present token.
-    /// Nothing if it must not be sent any more: its run is unwanted, or another
-    /// process than the one that it assumes has answered a list.
+    /// Nothing if it must not be sent any more: its run is unwanted, the data
+    /// centre is evacuated, or another process than the one that it assumes has
+    /// answered a list.
     std::optional<start_order> renew_unsent(start_order order);
 
     void start_answered(start_order const& order, order_response response,
--- a/libs/dispatch/src/cell_choice.cpp
+++ b/libs/dispatch/src/cell_choice.cpp
@@ -84,7 +84,9 @@
     std::vector<cell_dispatcher const*> idle;
     for (auto const& each : cells)
     {
-        if (tried.overloaded.contains(each.claim.cell))
+        if (each.claim.evacuated ||
+            tried.overloaded.contains(each.claim.cell) ||
+            tried.evacuated.contains(each.claim.cell))
             continue;
         open.push_back(&each);
         bool const untried = !tried.busy.contains(each.claim.cell);
--- a/libs/dispatch/src/dispatcher_impl.hpp
+++ b/libs/dispatch/src/dispatcher_impl.hpp
@@ -33,6 +33,8 @@
     void retire(time_point now);
     std::vector<std::string> release_idle();
 
+    void set_evacuated(bool evacuated, time_point now);
+
     void update_endpoint(endpoint_record record);
     void remove_endpoint(std::string const& id);
 
@@ -86,6 +88,8 @@
                        time_point now) const;
     /// Time by which a job with `only_if_idle` must be expected to end.
     time_point idle_finish_by(tracked_job const& job, time_point now) const;
+    /// Ends the jobs with waiting tasks, none of which may be started.
+    void end_evacuated_jobs(time_point now);
     void place(time_point now);
     void place_job(job_ptr const& job, time_point now);
     bool place_task(job_ptr const& job, std::size_t index, time_point now);
@@ -163,6 +167,8 @@
     time_point progress_checked_{};
     time_point records_usable_until_ = time_point::max();
     bool retiring_ = false;
+    /// The data centre of the endpoints is evacuated.
+    bool evacuated_ = false;
 };
 
 } // namespace masticshift::dispatch
--- a/libs/dispatch/src/dispatcher_interface.cpp
+++ b/libs/dispatch/src/dispatcher_interface.cpp
@@ -132,6 +132,11 @@
     impl_->records_usable_until_ = end;
 }
 
+void dispatcher::set_evacuated(bool evacuated, time_point now)
+{
+    impl_->set_evacuated(evacuated, now);
+}
+
 bool dispatcher::needs_records(time_point now) const
 {
     return std::ranges::any_of(impl_->accounts_,
@@ -170,7 +175,8 @@
 std::optional<start_order> dispatcher::renew_unsent(start_order order)
 {
     auto* const account = impl_->find(order.endpoint);
-    if (account == nullptr || !account->renew_unsent(order))
+    if (account == nullptr || impl_->evacuated_ ||
+        !account->renew_unsent(order))
         return std::nullopt;
     return order;
 }
--- a/libs/dispatch/src/dispatcher_jobs.cpp
+++ b/libs/dispatch/src/dispatcher_jobs.cpp
@@ -116,6 +116,11 @@
         finish(job, {job_end::refused, end_reason::not_dispatcher}, now);
         return;
     }
+    if (evacuated_)
+    {
+        finish(job, {job_end::refused, end_reason::evacuated}, now);
+        return;
+    }
     // Elsewhere it would start beside its former runs.
     if (job->spec.only_if_idle && !has_live_runs(*job) &&
         !can_start_all(*job, idle_finish_by(*job, now), now))
@@ -327,6 +332,21 @@
     }
 }
 
+void dispatcher::impl::set_evacuated(bool evacuated, time_point now)
+{
+    evacuated_ = evacuated;
+    place(now);
+}
+
+void dispatcher::impl::end_evacuated_jobs(time_point now)
+{
+    std::vector<job_ptr> waiting;
+    for (auto const& [key, job] : queue_.jobs())
+        waiting.push_back(job);
+    for (auto const& job : waiting)
+        finish(job, {job_end::refused, end_reason::evacuated}, now);
+}
+
 void dispatcher::impl::check_waiting(time_point now)
 {
     std::vector<job_ptr> due;
--- a/libs/dispatch/src/dispatcher_placement.cpp
+++ b/libs/dispatch/src/dispatcher_placement.cpp
@@ -62,7 +62,7 @@
 bool dispatcher::impl::can_start_all(tracked_job const& job,
                                      time_point finish_by, time_point now) const
 {
-    if (now > records_usable_until_)
+    if (evacuated_ || now > records_usable_until_)
         return false;
     placement_choice const choice(accounts_, speeds_, limits_.remote_factor);
     for (std::size_t number = 0; number < job.spec.steps.size(); ++number)
@@ -80,6 +80,11 @@
 
 void dispatcher::impl::place(time_point now)
 {
+    if (evacuated_)
+    {
+        end_evacuated_jobs(now);
+        return;
+    }
     if (queue_.jobs().empty() || now > records_usable_until_)
         return;
     auto largest = largest_free();
@@ -345,7 +350,7 @@
         record_failure(account, endpoint_failure::unanswered, now);
     account.record_call_failure(now);
     bool const wanted = !run.unwanted && run.job && !run.job->ended;
-    if (!wanted || ++run.unanswered_starts > max_start_repeats ||
+    if (!wanted || evacuated_ || ++run.unanswered_starts > max_start_repeats ||
         account.link() != endpoint_link::active)
     {
         stop_run(account, key, now);
--- a/libs/dispatch/src/dispatcher_progress.cpp
+++ b/libs/dispatch/src/dispatcher_progress.cpp
@@ -51,6 +51,9 @@
 
 void dispatcher::impl::check_progress(endpoint_account& account, time_point now)
 {
+    // A run that is stopped could not be started elsewhere in the cell.
+    if (evacuated_)
+        return;
     std::vector<run_key> stops;
     for (auto const& [key, run] : account.runs())
     {
--- a/libs/gateway/src/cell_manager.cpp
+++ b/libs/gateway/src/cell_manager.cpp
@@ -89,7 +89,13 @@
     }
     records_usable_until_ = state_.registry.usable_until(now);
     for (auto const& [name, cell] : cells_)
-        cell->use_records_until(records_usable_until_, now);
+        limit_starts(*cell, now);
+}
+
+void cell_manager::limit_starts(cell_runner& cell, time_point now) const
+{
+    cell.set_evacuated(state_.evacuations.contains(cell.data_centre()), now);
+    cell.use_records_until(records_usable_until_, now);
 }
 
 void cell_manager::update_layout(bool endpoints_changed, time_point now)
@@ -172,9 +178,9 @@
 
 void cell_manager::take_over(dispatch::cell const& cell, time_point now)
 {
-    auto const runner = std::make_shared<cell_runner>(
-        state_, endpoints_, peers_, executor_, cell.name);
-    runner->use_records_until(records_usable_until_, now);
+    auto const runner = std::make_shared<cell_runner>(state_, endpoints_,
+                                                      peers_, executor_, cell);
+    limit_starts(*runner, now);
     cells_[cell.name] = runner;
     for (auto const& [id, record] : records_)
     {
--- a/libs/gateway/src/cell_manager.hpp
+++ b/libs/gateway/src/cell_manager.hpp
@@ -76,6 +76,8 @@
     void log_ended_peers(time_point now);
     void update_roles(time_point now);
     void take_over(dispatch::cell const& cell, time_point now);
+    /// Tells a cell what it may start now.
+    void limit_starts(cell_runner& cell, time_point now) const;
     /// Calls an endpoint of a cell of another data centre and records whether
     /// it responded, on which depends whether this entry claims the cell.
     static asio::awaitable<void> probe(cell_manager& self, dispatch::cell cell);
--- a/libs/gateway/src/cell_runner.cpp
+++ b/libs/gateway/src/cell_runner.cpp
@@ -55,12 +55,13 @@
 cell_runner::cell_runner(gateway_state& state,
                          transport::http_client& endpoints,
                          peer_link::peer_client& peers,
-                         asio::any_io_executor executor, std::string cell)
+                         asio::any_io_executor executor, dispatch::cell cell)
     : state_(state),
       endpoints_(endpoints),
       peers_(peers),
       executor_(std::move(executor)),
-      cell_(std::move(cell)),
+      cell_(std::move(cell.name)),
+      data_centre_(std::move(cell.data_centre)),
       dispatcher_(std::make_unique<dispatch::dispatcher>(
           limits_of(state.settings.bounds), new_token(state.roster),
           [this](std::int64_t current)
@@ -224,6 +225,20 @@
                    {"waiting_tasks", dispatcher_->waiting_tasks()}});
 }
 
+void cell_runner::set_evacuated(bool evacuated, time_point now)
+{
+    if (std::exchange(evacuated_, evacuated) == evacuated)
+        return;
+    log_event(log_level::info, evacuated ? "cell_evacuated" : "cell_restored",
+              {{"cell", cell_},
+               {"version", state_.evacuations.version()},
+               {"jobs", dispatcher_->jobs()},
+               {"runs", dispatcher_->runs()},
+               {"waiting_tasks", dispatcher_->waiting_tasks()}});
+    dispatcher_->set_evacuated(evacuated, now);
+    flush();
+}
+
 void cell_runner::remove_endpoint(std::string const& id)
 {
     records_.erase(id);
@@ -261,6 +276,7 @@
     claim.retiring = retiring_;
     claim.waits = dispatcher_->expected_waits(now);
     claim.largest_free_processor = dispatcher_->largest_free_processor();
+    claim.evacuated = evacuated_;
     return claim;
 }
 
--- a/libs/gateway/src/cell_runner.hpp
+++ b/libs/gateway/src/cell_runner.hpp
@@ -26,7 +26,7 @@
 public:
     cell_runner(gateway_state& state, transport::http_client& endpoints,
                 peer_link::peer_client& peers, asio::any_io_executor executor,
-                std::string cell);
+                dispatch::cell cell);
 
     cell_runner(cell_runner const&) = delete;
     cell_runner& operator=(cell_runner const&) = delete;
@@ -53,6 +53,20 @@
     /// Orders no starts after this time, until a later one is set.
     void use_records_until(time_point end, time_point now);
 
+    /// Sets whether the cell's data centre is evacuated: nothing is started
+    /// then.
+    void set_evacuated(bool evacuated, time_point now);
+
+    std::string const& data_centre() const
+    {
+        return data_centre_;
+    }
+
+    bool evacuated() const
+    {
+        return evacuated_;
+    }
+
     /// Called when the former dispatcher of the cell has released endpoints.
     /// `last`: it has stopped, so all endpoints are released.
     void accept_released(std::vector<std::string> const& endpoints, bool last);
@@ -193,11 +207,13 @@
     peer_link::peer_client& peers_;
     asio::any_io_executor executor_;
     std::string cell_;
+    std::string data_centre_;
     std::unique_ptr<dispatch::dispatcher> dispatcher_;
     bool retiring_ = false;
     bool stopped_ = false;
     /// Starts wait for a newer list of endpoints.
     bool starts_held_ = false;
+    bool evacuated_ = false;
     time_point dispatching_since_{};
     time_point retiring_since_{};
     dispatch::token_search token_search_;
--- a/libs/gateway/src/configuration_watch.cpp
+++ b/libs/gateway/src/configuration_watch.cpp
@@ -21,6 +21,9 @@
 /// Pause after a failed call, which limits the calls during an outage.
 constexpr milliseconds retry_pause{250};
 
+/// No more malformed keys than this are logged.
+constexpr std::size_t most_malformed = 100;
+
 /// How often to check whether a peer has a newer version.
 constexpr milliseconds peer_interval{100};
 constexpr milliseconds fetch_timeout{500};
@@ -51,26 +54,72 @@
                {"queues", decoded->queues.size()}});
 }
 
-void configuration_watch::apply_rows(platform::store_rows const& rows)
+std::vector<dispatch::evacuation_row>
+configuration_watch::apply_rows(std::vector<platform::store_row> const& rows)
 {
-    for (auto const& row : rows.rows)
+    std::vector<dispatch::evacuation_row> evacuations;
+    for (auto const& row : rows)
     {
         if (row.key == platform::configuration_key && !row.removed)
             apply(row.value, "store");
+        auto data_centre = platform::decode_evacuation_key(row.key);
+        if (!data_centre)
+        {
+            if (malformed_.size() < most_malformed &&
+                malformed_.insert(row.key).second)
+                log_event(log_level::warning, "evacuation_skipped",
+                          {{"code", static_cast<int>(data_centre.error().code)},
+                           {"detail", data_centre.error().detail}});
+        }
+        else if (!data_centre->empty())
+        {
+            evacuations.push_back(
+                {std::move(*data_centre), row.version, row.removed});
+        }
     }
+    return evacuations;
+}
+
+void configuration_watch::log_changes(
+    std::vector<dispatch::evacuation_change> const& changes,
+    std::string_view source) const
+{
+    for (auto const& each : changes)
+        log_event(log_level::info,
+                  each.evacuated ? "evacuation_begun" : "evacuation_ended",
+                  {{"data_centre", each.data_centre},
+                   {"version", state_.evacuations.version()},
+                   {"source", source},
+                   {"has_endpoints",
+                    state_.registry.has_endpoints_in(each.data_centre)}});
 }
 
 asio::awaitable<bool> configuration_watch::read_all()
 {
-    bool history_gone = false;
-    auto request = platform::encode_read(platform::configuration_table,
-                                         platform::configuration_key);
-    auto const rows =
-        co_await store_.read(std::move(request), read_timeout, history_gone);
-    if (!rows)
-        co_return false;
-    apply_rows(*rows);
-    seen_version_ = rows->version;
+    std::vector<dispatch::evacuation_row> evacuations;
+    // The configuration's key comes before those of evacuations.
+    std::string from(platform::configuration_key);
+    std::int64_t version = 0;
+    bool more = true;
+    while (more)
+    {
+        bool history_gone = false;
+        auto request =
+            platform::encode_read(platform::configuration_table, from);
+        auto const rows = co_await store_.read(std::move(request), read_timeout,
+                                               history_gone);
+        if (!rows)
+            co_return false;
+        auto const found = apply_rows(rows->rows);
+        evacuations.insert(evacuations.end(), found.begin(), found.end());
+        version = version == 0 ? rows->version : version;
+        more = rows->has_more && !rows->rows.empty();
+        // A key and a zero byte is the next key in byte order.
+        if (more)
+            from = rows->rows.back().key + '\0';
+    }
+    log_changes(state_.evacuations.replace(evacuations, version), "store");
+    seen_version_ = version;
     co_return true;
 }
 
@@ -95,7 +144,9 @@
             co_await store_.read(std::move(request), timeout, history_gone);
         if (rows)
         {
-            apply_rows(*rows);
+            auto const evacuations = apply_rows(rows->rows);
+            log_changes(state_.evacuations.apply(evacuations, rows->version),
+                        "store");
             seen_version_ = std::max(seen_version_, rows->version);
         }
         full_read = history_gone;
--- a/libs/gateway/src/configuration_watch.hpp
+++ b/libs/gateway/src/configuration_watch.hpp
@@ -3,10 +3,13 @@
 
 #include "store_client.hpp"
 
+#include <set>
+
 namespace masticshift::gateway
 {
 
-/// Keeps the configuration up to date with the store and with peers.
+/// Keeps the configuration and the list of evacuated data centres up to date
+/// with the store and with peers.
 class configuration_watch
 {
 public:
@@ -24,7 +27,12 @@
 
 private:
     asio::awaitable<bool> read_all();
-    void apply_rows(platform::store_rows const& rows);
+    /// Applies a version of the configuration among the rows, and returns those
+    /// that evacuate a data centre.
+    std::vector<dispatch::evacuation_row>
+    apply_rows(std::vector<platform::store_row> const& rows);
+    void log_changes(std::vector<dispatch::evacuation_change> const& changes,
+                     std::string_view source) const;
     void apply(std::string const& text, std::string_view source);
 
     gateway_state& state_;
@@ -32,6 +40,8 @@
     peer_link::peer_client& peers_;
     /// Store version up to which changes have been read.
     std::int64_t seen_version_ = 0;
+    /// Malformed keys of evacuations, each of which is logged once.
+    std::set<std::string> malformed_;
 };
 
 } // namespace masticshift::gateway
--- a/libs/gateway/src/endpoint_io.cpp
+++ b/libs/gateway/src/endpoint_io.cpp
@@ -283,6 +283,11 @@
     {
         response.outcome = dispatch::order_response::not_sent;
     }
+    // The order may have been made just before the evacuation.
+    else if (self->evacuated_)
+    {
+        response.outcome = dispatch::order_response::outdated;
+    }
     else
     {
         response = co_await self->start_at_process(order);
--- a/libs/gateway/src/gateway_state.hpp
+++ b/libs/gateway/src/gateway_state.hpp
@@ -9,6 +9,7 @@
 #include <dispatch/cancelled_jobs.hpp>
 #include <dispatch/configuration.hpp>
 #include <dispatch/endpoint_registry.hpp>
+#include <dispatch/evacuation_list.hpp>
 #include <dispatch/peer_roster.hpp>
 
 #include <string>
@@ -29,6 +30,7 @@
     config::gateway_settings settings;
     dispatch::peer_roster roster;
     dispatch::endpoint_registry registry;
+    dispatch::evacuation_list evacuations;
     /// 0 until a configuration has been applied.
     std::int64_t configuration_version = 0;
     /// The text of this version, which peers may fetch.
--- a/libs/gateway/src/job_service.cpp
+++ b/libs/gateway/src/job_service.cpp
@@ -168,6 +168,7 @@
                {"cell", job->cell},
                {"busy_cells", job->tried.busy.size()},
                {"overloaded_cells", job->tried.overloaded.size()},
+               {"evacuated_cells", job->tried.evacuated.size()},
                {"end", dispatch::name_of(result.end)},
                {"reason", dispatch::name_of(result.reason)},
                {"caller_gone", job->caller_gone},
@@ -224,6 +225,12 @@
                 refusal = result;
                 continue;
             }
+            if (result.reason == dispatch::end_reason::evacuated)
+            {
+                job->tried.evacuated.insert(job->cell);
+                refusal = result;
+                continue;
+            }
             // The refusal came with a new reading of the dispatcher's clock.
             if (result.reason == dispatch::end_reason::outdated &&
                 ++job->outdated <= max_outdated)
--- a/libs/test_support/include/test_support/gateway_standin.hpp
+++ b/libs/test_support/include/test_support/gateway_standin.hpp
@@ -9,6 +9,7 @@
 #include <boost/asio/any_io_executor.hpp>
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -20,6 +21,10 @@
 /// A draining endpoint must get no new work later than this after its report.
 inline constexpr milliseconds drain_limit{2'000};
 
+/// Nothing may start in an evacuated data centre later than this after the row
+/// was written.
+inline constexpr milliseconds evacuation_limit{5'000};
+
 /// Faults of the store and the endpoints.
 struct platform_faults
 {
@@ -67,6 +72,11 @@
     /// Tasks started on an endpoint later than `drain_limit` after the store
     /// has accepted its report that it drains.
     std::vector<std::string> late_starts;
+    /// Tasks started in an evacuated data centre later than `evacuation_limit`
+    /// after the write.
+    std::vector<std::string> evacuated_starts;
+    /// By data centre.
+    std::map<std::string, std::size_t> starts_in;
     /// Tasks whose start arrived at a process of an endpoint that had not
     /// answered a list before: its sender can't have known the process.
     std::vector<std::string> unlisted_starts;
@@ -141,6 +151,13 @@
     /// Writes the configuration with one queue, `/q/` at host `jobs.example`.
     void configure(std::int64_t version, milliseconds run_time);
 
+    /// Writes the row that evacuates a data centre, or removes it.
+    void evacuate(std::string const& data_centre);
+    void end_evacuation(std::string const& data_centre);
+
+    /// Writes a row of the table that holds the configuration.
+    void write_operator_row(std::string const& key, std::string value);
+
     platform_faults& faults();
     platform_findings const& findings() const;
 
--- a/libs/test_support/src/gateway_standin.cpp
+++ b/libs/test_support/src/gateway_standin.cpp
@@ -98,6 +98,8 @@
     platform_findings findings;
     std::shared_ptr<standin_store> store;
     std::map<std::string, std::shared_ptr<standin_endpoint>> endpoints;
+    /// By evacuated data centre: when its row was written.
+    std::map<std::string, time_point> evacuated_since;
 
 private:
     void record_start(std::string const& id, std::string const& task)
@@ -107,6 +109,12 @@
         auto const draining = endpoints.at(id)->draining_since();
         if (draining && steady_clock::now() - *draining > drain_limit)
             findings.late_starts.push_back(task + " on " + id);
+        auto const& data_centre = endpoints.at(id)->data_centre();
+        ++findings.starts_in[data_centre];
+        auto const evacuated = evacuated_since.find(data_centre);
+        if (evacuated != evacuated_since.end() &&
+            steady_clock::now() - evacuated->second > evacuation_limit)
+            findings.evacuated_starts.push_back(task + " on " + id);
         findings.started_jobs.insert(task.substr(0, task.find('.')));
         for (auto& [other, each] : endpoints)
         {
@@ -238,6 +246,24 @@
     impl_->store->write("op", "config", json::serialize(body));
 }
 
+void gateway_standin::evacuate(std::string const& data_centre)
+{
+    impl_->evacuated_since.try_emplace(data_centre, steady_clock::now());
+    impl_->store->write("op", "evacuate/" + data_centre, {});
+}
+
+void gateway_standin::end_evacuation(std::string const& data_centre)
+{
+    impl_->evacuated_since.erase(data_centre);
+    impl_->store->remove("op", "evacuate/" + data_centre);
+}
+
+void gateway_standin::write_operator_row(std::string const& key,
+                                         std::string value)
+{
+    impl_->store->write("op", key, std::move(value));
+}
+
 platform_faults& gateway_standin::faults()
 {
     return *impl_->shared_state->faults;
--- a/libs/test_support/src/standin_endpoint.hpp
+++ b/libs/test_support/src/standin_endpoint.hpp
@@ -78,6 +78,11 @@
     /// thousandths of a core.
     void restart_as(std::vector<std::string> labels, std::int64_t processor);
 
+    std::string const& data_centre() const
+    {
+        return model_.record().data_centre;
+    }
+
     /// Number of runs of the task that are at work.
     std::size_t runs_of(std::string const& task);
 
--- a/libs/test_support/src/standin_store.cpp
+++ b/libs/test_support/src/standin_store.cpp
@@ -71,6 +71,12 @@
     rows_.put(table, key, std::move(value));
 }
 
+void standin_store::remove(std::string const& table, std::string const& key)
+{
+    rows_.begin();
+    rows_.remove(table, key);
+}
+
 asio::awaitable<standin_response>
 standin_store::handle(std::shared_ptr<standin_store> self,
                       transport::http_request request)
--- a/libs/test_support/src/standin_store.hpp
+++ b/libs/test_support/src/standin_store.hpp
@@ -28,6 +28,9 @@
     void write(std::string const& table, std::string const& key,
                std::string value);
 
+    /// Deletes a row in a transaction of its own.
+    void remove(std::string const& table, std::string const& key);
+
 private:
     using found_rows = std::vector<std::pair<std::string, stored_row>>;
 
