Starts wait for a read of the evacuated data centres; peers pass them on; 211

Cause: an entry that had just started, or thawed after a pause of seconds, could start tasks by a list of evacuated data centres that was older than an evacuation, and an entry without the store had no list. Callers whose data centres were all evacuated waited 350 ms for a dispatcher.

Change: evacuation_reads holds starts until the list was read once, and after a pause of over a second until it was read again (the watch call does not wait then). Once reads have failed for 500 ms the last list applies. Heartbeats carry evacuations_version; an entry whose reads have failed for 1.5 s fetches the list of the peer with the highest one. A job whose service has endpoints in evacuated data centres only is refused at once with 211 and Retry-After 5. /status and three gauges show the state.

Ruled out: to fetch from peers whenever one is newer. Versions of the store rise with every write, so that entries would fetch all the time.

Cold endpoints, soak, docs: not yet.

--- a/libs/core/include/core/result_code.hpp
+++ b/libs/core/include/core/result_code.hpp
@@ -44,6 +44,7 @@
     unsupported_job = 208,
     no_dispatcher = 209,
     request_waited = 210,
+    evacuated = 211,
 
     // An accepted job ended without a complete answer.
     outcome_unknown = 300,
--- a/libs/core/src/result_code.cpp
+++ b/libs/core/src/result_code.cpp
@@ -63,6 +63,8 @@
                      "No entry dispatches at the moment; submit again."},
     result_code_info{request_waited, "request_waited", 503,
                      "The entry was paused and ran nothing; submit again."},
+    result_code_info{evacuated, "evacuated", 503,
+                     "Every data centre that serves it is evacuated; wait."},
     result_code_info{outcome_unknown, "outcome_unknown", 502,
                      "Tasks may have run; check before submitting anew."},
     result_code_info{deadline_passed, "deadline_passed", 504,
--- a/libs/dispatch/include/dispatch/endpoint_registry.hpp
+++ b/libs/dispatch/include/dispatch/endpoint_registry.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -67,6 +68,9 @@
     /// Whether any endpoint of this data centre is known.
     bool has_endpoints_in(std::string const& data_centre) const;
 
+    /// The data centres with endpoints of this service.
+    std::set<std::string> data_centres_of(std::string const& service) const;
+
     std::size_t size() const
     {
         return entries_.size();
--- a/libs/dispatch/include/dispatch/peer_roster.hpp
+++ b/libs/dispatch/include/dispatch/peer_roster.hpp
@@ -158,6 +158,10 @@
     void set_leaving();
     void set_configuration_version(std::int64_t version);
 
+    /// Version of the store at which this entry has read the evacuated data
+    /// centres.
+    void set_evacuations_version(std::int64_t version);
+
     /// The next heartbeat to this address.
     entry_heartbeat heartbeat_to(std::string const& address,
                                  time_point now) const;
@@ -173,6 +177,10 @@
 
     std::int64_t newest_configuration() const;
 
+    /// The live entry that has read the evacuated data centres at the highest
+    /// version of the store; nothing if none is newer than this entry.
+    std::optional<std::string> peer_with_evacuations(time_point now) const;
+
     /// An entry that has this version of the configuration or a later one.
     std::optional<std::string> peer_with_configuration(std::int64_t version,
                                                        time_point now) const;
@@ -256,6 +264,7 @@
     bool leaving_ = false;
     std::vector<dispatch_claim> claims_;
     std::int64_t configuration_version_ = 0;
+    std::int64_t evacuations_version_ = 0;
     std::int64_t highest_token_ = 0;
     peer_liveness liveness_;
     origin_watch origins_;
--- a/libs/dispatch/src/endpoint_registry.cpp
+++ b/libs/dispatch/src/endpoint_registry.cpp
@@ -126,6 +126,18 @@
     return all;
 }
 
+std::set<std::string>
+endpoint_registry::data_centres_of(std::string const& service) const
+{
+    std::set<std::string> found;
+    for (auto const& [id, known] : entries_)
+    {
+        if (known.known.record.service == service)
+            found.insert(known.known.record.data_centre);
+    }
+    return found;
+}
+
 bool endpoint_registry::has_endpoints_in(std::string const& data_centre) const
 {
     return std::ranges::any_of(entries_,
--- a/libs/dispatch/src/peer_roster.cpp
+++ b/libs/dispatch/src/peer_roster.cpp
@@ -270,6 +270,11 @@
     configuration_version_ = version;
 }
 
+void peer_roster::set_evacuations_version(std::int64_t version)
+{
+    evacuations_version_ = version;
+}
+
 entry_heartbeat peer_roster::own_heartbeat(time_point now) const
 {
     entry_heartbeat heartbeat;
@@ -278,6 +283,7 @@
     heartbeat.clock = reading_at(now);
     heartbeat.claims = claims_;
     heartbeat.configuration_version = configuration_version_;
+    heartbeat.evacuations_version = evacuations_version_;
     heartbeat.highest_token = highest_token_;
     // One known entry per heartbeat spreads all addresses within seconds.
     auto const* const known = liveness_.find(announced_);
@@ -359,6 +365,22 @@
     return std::nullopt;
 }
 
+std::optional<std::string>
+peer_roster::peer_with_evacuations(time_point now) const
+{
+    std::optional<std::string> best;
+    auto highest = evacuations_version_;
+    for (auto const& [address, known] : liveness_.peers())
+    {
+        auto const version = known.heartbeat.evacuations_version;
+        if (version <= highest || !liveness_.is_alive(known, now))
+            continue;
+        best = address;
+        highest = version;
+    }
+    return best;
+}
+
 std::optional<std::string> peer_roster::next_live_peer(time_point now)
 {
     std::vector<std::string> alive;
--- a/libs/gateway/src/cell_manager.cpp
+++ b/libs/gateway/src/cell_manager.cpp
@@ -35,6 +35,8 @@
     {
         auto const now = steady_clock::now();
         state_.input.observe(now);
+        state_.evacuation_reads.observe(now);
+        log_evacuations_read(now);
         log_ended_peers(now);
         apply_registry_changes(now);
         update_roles(now);
@@ -95,7 +97,19 @@
 void cell_manager::limit_starts(cell_runner& cell, time_point now) const
 {
     cell.set_evacuated(state_.evacuations.contains(cell.data_centre()), now);
-    cell.use_records_until(records_usable_until_, now);
+    cell.use_records_until(state_.evacuation_reads.is_usable(now)
+                               ? records_usable_until_
+                               : time_point::min(),
+                           now);
+}
+
+void cell_manager::log_evacuations_read(time_point now)
+{
+    bool const read = state_.evacuation_reads.is_usable(now);
+    if (std::exchange(evacuations_read_, read) != read)
+        log_event(log_level::info,
+                  read ? "evacuations_read" : "evacuations_unread",
+                  {{"version", state_.evacuations.version()}});
 }
 
 void cell_manager::update_layout(bool endpoints_changed, time_point now)
@@ -231,8 +245,10 @@
     std::size_t endpoints = 0;
     std::size_t waiting = 0;
     std::size_t runs = 0;
+    std::size_t evacuated = 0;
     for (auto const& [name, cell] : cells_)
     {
+        evacuated += cell->evacuated() ? 1 : 0;
         endpoints += cell->dispatcher().usable();
         waiting += cell->dispatcher().waiting_tasks();
         runs += cell->dispatcher().runs();
@@ -242,6 +258,11 @@
     metrics.endpoints.set(static_cast<double>(endpoints));
     metrics.waiting_tasks.set(static_cast<double>(waiting));
     metrics.runs.set(static_cast<double>(runs));
+    metrics.evacuated_cells.set(static_cast<double>(evacuated));
+    metrics.evacuated_data_centres.set(
+        static_cast<double>(state_.evacuations.data_centres().size()));
+    metrics.evacuations_unread.set(state_.evacuation_reads.is_usable(now) ? 0
+                                                                          : 1);
 }
 
 asio::awaitable<dispatch::job_result>
--- a/libs/gateway/src/cell_manager.hpp
+++ b/libs/gateway/src/cell_manager.hpp
@@ -76,6 +76,9 @@
     void log_ended_peers(time_point now);
     void update_roles(time_point now);
     void take_over(dispatch::cell const& cell, time_point now);
+    /// Logs whether the list of evacuated data centres may be relied on, when
+    /// that has changed.
+    void log_evacuations_read(time_point now);
     /// Tells a cell what it may start now.
     void limit_starts(cell_runner& cell, time_point now) const;
     /// Calls an endpoint of a cell of another data centre and records whether
@@ -98,6 +101,7 @@
     std::map<std::string, dispatch::endpoint_record> records_;
     /// Until when starts may be ordered by them. Set together with them.
     time_point records_usable_until_ = time_point::max();
+    bool evacuations_read_ = false;
     std::map<std::string, std::shared_ptr<cell_runner>> cells_;
     dispatch::submission_guard submissions_;
     /// Cells that are being probed.
--- a/libs/gateway/src/cell_runner.cpp
+++ b/libs/gateway/src/cell_runner.cpp
@@ -375,7 +375,9 @@
 
 bool cell_runner::cancel(std::string const& id)
 {
-    bool const found = dispatcher_->cancel(id, steady_clock::now());
+    auto const now = steady_clock::now();
+    hold_starts_after_pause(now);
+    bool const found = dispatcher_->cancel(id, now);
     flush();
     return found;
 }
@@ -407,11 +409,18 @@
 
 void cell_runner::catch_up_after_pause(time_point now)
 {
+    hold_starts_after_pause(now);
     if (is_resuming(now))
         origins_checked_ = {};
     drop_unwanted_jobs(now);
 }
 
+void cell_runner::hold_starts_after_pause(time_point now)
+{
+    if (!state_.evacuation_reads.is_usable(now))
+        dispatcher_->use_records_until(time_point::min());
+}
+
 void cell_runner::drop_unwanted_jobs(time_point now)
 {
     // `step` follows more often than this.
--- a/libs/gateway/src/cell_runner.hpp
+++ b/libs/gateway/src/cell_runner.hpp
@@ -134,6 +134,9 @@
     /// To be called before the response to an order is used. After a pause,
     /// jobs may be unwanted: their runs must not be started again.
     void catch_up_after_pause(time_point now);
+    /// Starts nothing until the evacuated data centres were read again. `step`
+    /// has the same effect, but may follow later.
+    void hold_starts_after_pause(time_point now);
     /// To be called before leases are renewed, by lists or by starts.
     void drop_unwanted_jobs(time_point now);
     /// Whether the process was paused and has made no step since.
--- a/libs/gateway/src/configuration_watch.cpp
+++ b/libs/gateway/src/configuration_watch.cpp
@@ -1,8 +1,13 @@
 #include "configuration_watch.hpp"
 
+#include "peer_wire.hpp"
+
 #include <core/log.hpp>
 #include <platform/configuration_codec.hpp>
 
+#include <algorithm>
+#include <utility>
+
 namespace masticshift::gateway
 {
 
@@ -80,10 +85,12 @@
     return evacuations;
 }
 
-void configuration_watch::log_changes(
+void configuration_watch::record_evacuations(
     std::vector<dispatch::evacuation_change> const& changes,
-    std::string_view source) const
+    std::string_view source, time_point begun)
 {
+    state_.evacuation_reads.record_read(begun);
+    state_.roster.set_evacuations_version(state_.evacuations.version());
     for (auto const& each : changes)
         log_event(log_level::info,
                   each.evacuated ? "evacuation_begun" : "evacuation_ended",
@@ -96,6 +103,7 @@
 
 asio::awaitable<bool> configuration_watch::read_all()
 {
+    auto const begun = steady_clock::now();
     std::vector<dispatch::evacuation_row> evacuations;
     // The configuration's key comes before those of evacuations.
     std::string from(platform::configuration_key);
@@ -109,7 +117,10 @@
         auto const rows = co_await store_.read(std::move(request), read_timeout,
                                                history_gone);
         if (!rows)
+        {
+            state_.evacuation_reads.record_failure(begun);
             co_return false;
+        }
         auto const found = apply_rows(rows->rows);
         evacuations.insert(evacuations.end(), found.begin(), found.end());
         version = version == 0 ? rows->version : version;
@@ -118,7 +129,8 @@
         if (more)
             from = rows->rows.back().key + '\0';
     }
-    log_changes(state_.evacuations.replace(evacuations, version), "store");
+    record_evacuations(state_.evacuations.replace(evacuations, version),
+                       "store", begun);
     seen_version_ = version;
     co_return true;
 }
@@ -136,8 +148,12 @@
             continue;
         }
         bool history_gone = false;
-        auto const wait = store_.reachable() ? watch_wait : milliseconds(0);
-        auto const timeout = store_.reachable() ? watch_timeout : read_timeout;
+        auto const begun = steady_clock::now();
+        // A list from before a pause is confirmed without a wait for changes.
+        bool const may_wait =
+            store_.reachable() && !state_.evacuation_reads.is_needed();
+        auto const wait = may_wait ? watch_wait : milliseconds(0);
+        auto const timeout = may_wait ? watch_timeout : read_timeout;
         auto request = platform::encode_watch(platform::configuration_table,
                                               seen_version_, wait);
         auto const rows =
@@ -145,21 +161,56 @@
         if (rows)
         {
             auto const evacuations = apply_rows(rows->rows);
-            log_changes(state_.evacuations.apply(evacuations, rows->version),
-                        "store");
+            record_evacuations(
+                state_.evacuations.apply(evacuations, rows->version), "store",
+                begun);
             seen_version_ = std::max(seen_version_, rows->version);
         }
+        else if (!history_gone)
+        {
+            state_.evacuation_reads.record_failure(begun);
+        }
         full_read = history_gone;
         if (!rows || !store_.reachable())
             co_await pause(retry_pause);
     }
 }
 
+asio::awaitable<void> configuration_watch::fetch_evacuations()
+{
+    auto const begun = steady_clock::now();
+    auto const peer = state_.roster.peer_with_evacuations(begun);
+    if (!peer)
+        co_return;
+    auto message = peer_link::make_message(wire::fetch_evacuations{});
+    auto const response = co_await call_peer(peers_, *peer, std::move(message),
+                                             begun + fetch_timeout);
+    if (!response)
+    {
+        log_event(log_level::warning, "evacuations_fetch_failed",
+                  {{"peer", *peer}, {"detail", response.error().error.detail}});
+        co_return;
+    }
+    auto const reply = decode_evacuations(response->evacuations_answer);
+    if (!reply)
+    {
+        log_event(log_level::warning, "evacuations_fetch_failed",
+                  {{"peer", *peer}, {"detail", reply.error().detail}});
+        co_return;
+    }
+    if (reply->version <= state_.evacuations.version())
+        co_return;
+    record_evacuations(state_.evacuations.replace(reply->rows, reply->version),
+                       *peer, begun);
+}
+
 asio::awaitable<void> configuration_watch::follow_peers()
 {
     for (;;)
     {
         co_await pause(peer_interval);
+        if (state_.evacuation_reads.is_overdue(steady_clock::now()))
+            co_await fetch_evacuations();
         auto const now = steady_clock::now();
         auto const newest = state_.roster.newest_configuration();
         if (newest <= state_.configuration_version)
--- a/libs/gateway/src/configuration_watch.hpp
+++ b/libs/gateway/src/configuration_watch.hpp
@@ -22,7 +22,8 @@
     /// Applies each version that the store holds.
     asio::awaitable<void> follow_store();
 
-    /// Fetches newer versions from the peers whose heartbeats report them.
+    /// Fetches newer versions from the peers whose heartbeats report them;
+    /// evacuations only while reads of the store fail.
     asio::awaitable<void> follow_peers();
 
 private:
@@ -31,8 +32,13 @@
     /// that evacuate a data centre.
     std::vector<dispatch::evacuation_row>
     apply_rows(std::vector<platform::store_row> const& rows);
-    void log_changes(std::vector<dispatch::evacuation_change> const& changes,
-                     std::string_view source) const;
+    /// Makes a read of the evacuated data centres, by a call made at `begun`,
+    /// known to dispatchers and peers.
+    void
+    record_evacuations(std::vector<dispatch::evacuation_change> const& changes,
+                       std::string_view source, time_point begun);
+    /// Fetches the evacuated data centres from a peer that knows newer ones.
+    asio::awaitable<void> fetch_evacuations();
     void apply(std::string const& text, std::string_view source);
 
     gateway_state& state_;
--- a/libs/gateway/src/gateway_metrics.hpp
+++ b/libs/gateway/src/gateway_metrics.hpp
@@ -62,6 +62,15 @@
         "masticshift_endpoints", "Endpoints that this entry can place on");
     metrics::gauge& waiting_tasks = registry.get_gauge(
         "masticshift_waiting_tasks", "Tasks that wait for room");
+    metrics::gauge& evacuated_data_centres =
+        registry.get_gauge("masticshift_evacuated_data_centres",
+                           "Data centres in which nothing may be started");
+    metrics::gauge& evacuated_cells = registry.get_gauge(
+        "masticshift_evacuated_cells",
+        "Cells that this entry dispatches and starts nothing in");
+    metrics::gauge& evacuations_unread = registry.get_gauge(
+        "masticshift_evacuations_unread",
+        "1 while starts wait for a read of the evacuated data centres");
     metrics::gauge& runs = registry.get_gauge(
         "masticshift_runs", "Runs that this entry keeps the lease of");
 };
--- a/libs/gateway/src/gateway_state.hpp
+++ b/libs/gateway/src/gateway_state.hpp
@@ -10,6 +10,7 @@
 #include <dispatch/configuration.hpp>
 #include <dispatch/endpoint_registry.hpp>
 #include <dispatch/evacuation_list.hpp>
+#include <dispatch/evacuation_reads.hpp>
 #include <dispatch/peer_roster.hpp>
 
 #include <string>
@@ -31,6 +32,7 @@
     dispatch::peer_roster roster;
     dispatch::endpoint_registry registry;
     dispatch::evacuation_list evacuations;
+    dispatch::evacuation_reads evacuation_reads;
     /// 0 until a configuration has been applied.
     std::int64_t configuration_version = 0;
     /// The text of this version, which peers may fetch.
--- a/libs/gateway/src/job_service.cpp
+++ b/libs/gateway/src/job_service.cpp
@@ -5,6 +5,7 @@
 #include <core/log.hpp>
 #include <dispatch/cell_choice.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace masticshift::gateway
@@ -30,6 +31,10 @@
 /// When the caller should retry if there is no dispatcher.
 constexpr milliseconds no_dispatcher_retry{1'000};
 
+/// When the caller should retry if every data centre is evacuated: the largest
+/// value that refusals have. The end of an evacuation is not known.
+constexpr milliseconds evacuated_retry{5'000};
+
 /// The dispatcher ends a job at its caller's timeout. This is the additional
 /// time for its response to arrive.
 constexpr milliseconds answer_margin{500};
@@ -143,6 +148,9 @@
         co_return reject(platform::encode_refusal(status, no_dispatcher_retry),
                          call, code, decoded.error().detail);
     }
+    if (is_evacuated(decoded->service))
+        co_return reject(platform::encode_refusal(unavailable, evacuated_retry),
+                         call, result_code::evacuated, decoded->service);
     auto const job = std::make_shared<submission>();
     job->job = std::move(*decoded);
     job->accepted = steady_clock::now();
@@ -191,6 +199,19 @@
     return true;
 }
 
+bool job_service::is_evacuated(std::string const& service) const
+{
+    if (state_.evacuations.data_centres().empty())
+        return false;
+    auto const serving = state_.registry.data_centres_of(service);
+    return !serving.empty() &&
+           std::ranges::all_of(serving,
+                               [&](std::string const& each)
+                               {
+                                   return state_.evacuations.contains(each);
+                               });
+}
+
 asio::awaitable<transport::http_response> job_service::cancel(std::string id)
 {
     auto const outcome = co_await cancellations_.cancel(std::move(id));
@@ -229,6 +250,7 @@
             {
                 job->tried.evacuated.insert(job->cell);
                 refusal = result;
+                refusal.retry_after = evacuated_retry;
                 continue;
             }
             // The refusal came with a new reading of the dispatcher's clock.
@@ -239,7 +261,8 @@
                 result.reason != dispatch::end_reason::outdated)
                 co_return result;
         }
-        else if (!job->tried.overloaded.empty())
+        else if (!job->tried.overloaded.empty() ||
+                 is_evacuated(job->job.service))
         {
             co_return refusal;
         }
--- a/libs/gateway/src/job_service.hpp
+++ b/libs/gateway/src/job_service.hpp
@@ -54,6 +54,8 @@
     asio::awaitable<dispatch::job_result> dispatch(submission_ptr job);
     asio::awaitable<dispatch::job_result> call_dispatcher(submission_ptr job);
     bool choose_cell(submission& job);
+    /// Whether all data centres with endpoints of the service are evacuated.
+    bool is_evacuated(std::string const& service) const;
     /// Whether the caller still waits for the answer.
     bool is_wanted(submission& job);
     void handle_caller_gone(submission_ptr const& job);
--- a/libs/gateway/src/peer_exchange.cpp
+++ b/libs/gateway/src/peer_exchange.cpp
@@ -232,6 +232,13 @@
         reply.text = state_.configuration_text;
         co_return peer_link::make_message(std::move(reply));
     }
+    case evacuations_call:
+    {
+        wire::fetch_evacuations_reply reply;
+        reply.version = state_.evacuations.version();
+        reply.data_centres = state_.evacuations.data_centres();
+        co_return peer_link::make_message(std::move(reply));
+    }
     default:
         co_return refuse({result_code::peer_protocol,
                           "a gateway does not serve this kind of call"});
--- a/libs/gateway/src/peer_wire.cpp
+++ b/libs/gateway/src/peer_wire.cpp
@@ -262,6 +262,21 @@
     return from_wire(valid);
 }
 
+outcome<evacuations_read>
+decode_evacuations(wire::fetch_evacuations_reply const& reply)
+{
+    if (!is_in_range(reply.version, 0, largest_exact))
+        return refused("evacuated data centres with a version out of range");
+    evacuations_read converted;
+    converted.version = reply.version;
+    for (auto const& name : reply.data_centres)
+    {
+        if (!name.empty())
+            converted.rows.push_back({name, reply.version});
+    }
+    return converted;
+}
+
 wire::clock_reading to_wire(dispatch::clock_reading const& reading)
 {
     wire::clock_reading converted;
--- a/libs/gateway/src/peer_wire.hpp
+++ b/libs/gateway/src/peer_wire.hpp
@@ -2,10 +2,14 @@
 #define MASTICSHIFT_GATEWAY_PEER_WIRE_HPP
 
 #include <core/outcome.hpp>
+#include <dispatch/evacuation_list.hpp>
 #include <dispatch/job.hpp>
 #include <dispatch/peer_roster.hpp>
 #include <peer_link/wire.hpp>
 
+#include <cstdint>
+#include <vector>
+
 namespace masticshift::gateway
 {
 
@@ -28,6 +32,18 @@
 outcome<dispatch::entry_identity> decode_entry(wire::entry_record const& entry);
 outcome<dispatch::entry_heartbeat> decode_heartbeat(wire::pulse const& pulse);
 
+/// The evacuated data centres that a peer knows.
+struct evacuations_read
+{
+    std::int64_t version = 0;
+    std::vector<dispatch::evacuation_row> rows;
+};
+
+/// Fails with `peer_protocol` if the version is out of range. Empty names are
+/// left out.
+outcome<evacuations_read>
+decode_evacuations(wire::fetch_evacuations_reply const& reply);
+
 wire::clock_reading to_wire(dispatch::clock_reading const& reading);
 dispatch::clock_reading from_wire(wire::clock_reading const& reading);
 
--- a/libs/gateway/src/status_text.cpp
+++ b/libs/gateway/src/status_text.cpp
@@ -22,7 +22,8 @@
                         {"token", each.claim.token},
                         {"endpoints", each.claim.endpoints},
                         {"free_processor", each.claim.free_processor},
-                        {"backlog_ms", each.claim.backlog.count()}});
+                        {"backlog_ms", each.claim.backlog.count()},
+                        {"evacuated", each.claim.evacuated}});
     return rows;
 }
 
@@ -57,10 +58,23 @@
             {"by_trust", json::value_from(trusts)}};
 }
 
+json::object evacuations(gateway_state const& state, time_point now)
+{
+    json::array data_centres;
+    for (auto const& name : state.evacuations.data_centres())
+        data_centres.push_back(
+            {{"data_centre", name},
+             {"has_endpoints", state.registry.has_endpoints_in(name)}});
+    return {{"version", state.evacuations.version()},
+            {"read", state.evacuation_reads.is_usable(now)},
+            {"data_centres", std::move(data_centres)}};
+}
+
 json::object cell_row(cell_runner const& cell, time_point now)
 {
     auto const endpoints = cell.dispatcher().status(now);
     return {{"retiring", cell.retiring()},
+            {"evacuated", cell.evacuated()},
             {"jobs", cell.dispatcher().jobs()},
             {"runs", cell.dispatcher().runs()},
             {"waiting_tasks", cell.dispatcher().waiting_tasks()},
@@ -83,6 +97,7 @@
     text["incarnation"] = state.roster.self().incarnation;
     text["leaving"] = state.leaving;
     text["configuration"] = state.configuration_version;
+    text["evacuations"] = evacuations(state, now);
     text["store_reachable"] = store_reachable;
     text["live_peers"] = state.roster.alive_count(now);
     text["open_jobs"] = open_jobs;
--- a/libs/gateway/tests/deployment.hpp
+++ b/libs/gateway/tests/deployment.hpp
@@ -48,7 +48,10 @@
                 .value();
     }
 
-    std::size_t add_gateway(std::string const& data_centre, double processors)
+    /// `change` alters the settings before the start.
+    std::size_t add_gateway(
+        std::string const& data_centre, double processors,
+        std::function<void(config::gateway_settings&)> const& change = {})
     {
         entries_.push_back({});
         auto& added = entries_.back();
@@ -61,6 +64,8 @@
         settings.gateway.metrics_address = added.ports[3].address();
         settings.gateway.processors = processors;
         settings.store_address = {"127.0.0.1", platform_.store_port()};
+        if (change)
+            change(settings);
         gateways_.push_back(nullptr);
         start(entries_.size() - 1);
         return entries_.size() - 1;
--- a/libs/gateway/tests/evacuation_test.cpp
+++ b/libs/gateway/tests/evacuation_test.cpp
@@ -130,3 +130,53 @@
     CHECK(starts_in(fixture, "north") == 0);
     CHECK(starts_in(fixture, "south") == 2);
 }
+
+TEST_CASE("a job is refused at once with a time to wait while all data centres "
+          "are evacuated, and nothing of it starts")
+{
+    two_data_centres fixture;
+    fixture.platform().evacuate("north");
+    fixture.platform().evacuate("south");
+    fixture.run(notice_time);
+    auto const begun = steady_clock::now();
+    auto const job = fixture.submit(0, 1, 1);
+    fixture.run_until(
+        [&]
+        {
+            return job->status != 0;
+        },
+        answer_timeout);
+    CHECK(job->status == 503);
+    CHECK(job->retry_after == "5");
+    CHECK(steady_clock::now() - begun < milliseconds(300));
+    CHECK(fixture.platform().findings().starts == 0);
+    fixture.platform().end_evacuation("south");
+    fixture.run(notice_time);
+    CHECK(answered_status(fixture, 0, 2) == 200);
+    CHECK(starts_in(fixture, "north") == 0);
+}
+
+TEST_CASE("an entry whose reads of the store fail, also through peers, learns "
+          "of evacuations from the peer that has read them")
+{
+    deployment fixture;
+    fixture.add_endpoints("north", 2);
+    fixture.platform().evacuate("north");
+    fixture.add_gateway("north", 0.25);
+    REQUIRE(fixture.run_until_ready(0));
+    fixture.platform().faults().store_down = true;
+    auto const seed = fixture.peer_address(0);
+    fixture.add_gateway("south", 0.25,
+                        [&](config::gateway_settings& settings)
+                        {
+                            settings.seeds = {seed};
+                        });
+    CHECK(fixture.run_until(
+        [&]
+        {
+            return fixture.status_json(1).find(
+                       R"("data_centres":[{"data_centre":"north")") !=
+                   std::string::npos;
+        },
+        milliseconds(5'000)));
+}
