--- a/libs/gateway/src/cell_manager.cpp
+++ b/libs/gateway/src/cell_manager.cpp
@@ -35,6 +35,8 @@
     {
         auto const now = steady_clock::now();
         state_.input.observe(now);
+        state_.evacuation_reads.observe(now);
+        log_evacuations_read(now);
         log_ended_peers(now);
         apply_registry_changes(now);
         update_roles(now);
@@ -89,7 +91,25 @@
     }
     records_usable_until_ = state_.registry.usable_until(now);
     for (auto const& [name, cell] : cells_)
-        cell->use_records_until(records_usable_until_, now);
+        limit_starts(*cell, now);
+}
+
+void cell_manager::limit_starts(cell_runner& cell, time_point now) const
+{
+    cell.set_evacuated(state_.evacuations.contains(cell.data_centre()), now);
+    cell.use_records_until(state_.evacuation_reads.is_usable(now)
+                               ? records_usable_until_
+                               : time_point::min(),
+                           now);
+}
+
+void cell_manager::log_evacuations_read(time_point now)
+{
+    bool const read = state_.evacuation_reads.is_usable(now);
+    if (std::exchange(evacuations_read_, read) != read)
+        log_event(log_level::info,
+                  read ? "evacuations_read" : "evacuations_unread",
+                  {{"version", state_.evacuations.version()}});
 }
 
 void cell_manager::update_layout(bool endpoints_changed, time_point now)
@@ -172,9 +192,9 @@
 
 void cell_manager::take_over(dispatch::cell const& cell, time_point now)
 {
-    auto const runner = std::make_shared<cell_runner>(
-        state_, endpoints_, peers_, executor_, cell.name);
-    runner->use_records_until(records_usable_until_, now);
+    auto const runner = std::make_shared<cell_runner>(state_, endpoints_,
+                                                      peers_, executor_, cell);
+    limit_starts(*runner, now);
     cells_[cell.name] = runner;
     for (auto const& [id, record] : records_)
     {
@@ -225,8 +245,10 @@
     std::size_t endpoints = 0;
     std::size_t waiting = 0;
     std::size_t runs = 0;
+    std::size_t evacuated = 0;
     for (auto const& [name, cell] : cells_)
     {
+        evacuated += cell->evacuated() ? 1 : 0;
         endpoints += cell->dispatcher().usable();
         waiting += cell->dispatcher().waiting_tasks();
         runs += cell->dispatcher().runs();
@@ -236,6 +258,11 @@
     metrics.endpoints.set(static_cast<double>(endpoints));
     metrics.waiting_tasks.set(static_cast<double>(waiting));
     metrics.runs.set(static_cast<double>(runs));
+    metrics.evacuated_cells.set(static_cast<double>(evacuated));
+    metrics.evacuated_data_centres.set(
+        static_cast<double>(state_.evacuations.data_centres().size()));
+    metrics.evacuations_unread.set(state_.evacuation_reads.is_usable(now) ? 0
+                                                                          : 1);
 }
 
 asio::awaitable<dispatch::job_result>
--- a/libs/gateway/src/configuration_watch.cpp
+++ b/libs/gateway/src/configuration_watch.cpp
@@ -1,8 +1,13 @@
 #include "configuration_watch.hpp"
 
+#include "peer_wire.hpp"
+
 #include <core/log.hpp>
 #include <platform/configuration_codec.hpp>
 
+#include <algorithm>
+#include <utility>
+
 namespace masticshift::gateway
 {
 
@@ -21,6 +26,9 @@
 /// Pause after a failed call, which limits the calls during an outage.
 constexpr milliseconds retry_pause{250};
 
+/// No more malformed keys than this are logged.
+constexpr std::size_t most_malformed = 100;
+
 /// How often to check whether a peer has a newer version.
 constexpr milliseconds peer_interval{100};
 constexpr milliseconds fetch_timeout{500};
@@ -51,26 +59,79 @@
                {"queues", decoded->queues.size()}});
 }
 
-void configuration_watch::apply_rows(platform::store_rows const& rows)
+std::vector<dispatch::evacuation_row>
+configuration_watch::apply_rows(std::vector<platform::store_row> const& rows)
 {
-    for (auto const& row : rows.rows)
+    std::vector<dispatch::evacuation_row> evacuations;
+    for (auto const& row : rows)
     {
         if (row.key == platform::configuration_key && !row.removed)
             apply(row.value, "store");
+        auto data_centre = platform::decode_evacuation_key(row.key);
+        if (!data_centre)
+        {
+            if (malformed_.size() < most_malformed &&
+                malformed_.insert(row.key).second)
+                log_event(log_level::warning, "evacuation_skipped",
+                          {{"code", static_cast<int>(data_centre.error().code)},
+                           {"detail", data_centre.error().detail}});
+        }
+        else if (!data_centre->empty())
+        {
+            evacuations.push_back(
+                {std::move(*data_centre), row.version, row.removed});
+        }
     }
+    return evacuations;
+}
+
+void configuration_watch::record_evacuations(
+    std::vector<dispatch::evacuation_change> const& changes,
+    std::string_view source, time_point begun)
+{
+    state_.evacuation_reads.record_read(begun);
+    state_.roster.set_evacuations_version(state_.evacuations.version());
+    for (auto const& each : changes)
+        log_event(log_level::info,
+                  each.evacuated ? "evacuation_begun" : "evacuation_ended",
+                  {{"data_centre", each.data_centre},
+                   {"version", state_.evacuations.version()},
+                   {"source", source},
+                   {"has_endpoints",
+                    state_.registry.has_endpoints_in(each.data_centre)}});
 }
 
 asio::awaitable<bool> configuration_watch::read_all()
 {
-    bool history_gone = false;
-    auto request = platform::encode_read(platform::configuration_table,
-                                         platform::configuration_key);
-    auto const rows =
-        co_await store_.read(std::move(request), read_timeout, history_gone);
-    if (!rows)
-        co_return false;
-    apply_rows(*rows);
-    seen_version_ = rows->version;
+    auto const begun = steady_clock::now();
+    std::vector<dispatch::evacuation_row> evacuations;
+    // The configuration's key comes before those of evacuations.
+    std::string from(platform::configuration_key);
+    std::int64_t version = 0;
+    bool more = true;
+    while (more)
+    {
+        bool history_gone = false;
+        auto request =
+            platform::encode_read(platform::configuration_table, from);
+        auto const rows = co_await store_.read(std::move(request), read_timeout,
+                                               history_gone);
+        if (!rows)
+        {
+            state_.evacuation_reads.record_failure(begun);
+            co_return false;
+        }
+        auto const found = apply_rows(rows->rows);
+        evacuations.insert(evacuations.end(), found.begin(), found.end());
+        version = version == 0 ? rows->version : version;
+        more = rows->has_more && !rows->rows.empty();
+        // A key and a zero byte is the next key in byte order.
+        if (more)
+            from = rows->rows.back().key + '\0';
+    }
+    record_evacuations(state_.evacuations.replace(evacuations, version),
+                       "store", begun);
+    seen_version_ = version;
     co_return true;
 }
 
@@ -87,28 +148,69 @@
             continue;
         }
         bool history_gone = false;
-        auto const wait = store_.reachable() ? watch_wait : milliseconds(0);
-        auto const timeout = store_.reachable() ? watch_timeout : read_timeout;
+        auto const begun = steady_clock::now();
+        // A list from before a pause is confirmed without a wait for changes.
+        bool const may_wait =
+            store_.reachable() && !state_.evacuation_reads.is_needed();
+        auto const wait = may_wait ? watch_wait : milliseconds(0);
+        auto const timeout = may_wait ? watch_timeout : read_timeout;
         auto request = platform::encode_watch(platform::configuration_table,
                                               seen_version_, wait);
         auto const rows =
             co_await store_.read(std::move(request), timeout, history_gone);
         if (rows)
         {
-            apply_rows(*rows);
+            auto const evacuations = apply_rows(rows->rows);
+            record_evacuations(
+                state_.evacuations.apply(evacuations, rows->version), "store",
+                begun);
             seen_version_ = std::max(seen_version_, rows->version);
         }
+        else if (!history_gone)
+        {
+            state_.evacuation_reads.record_failure(begun);
+        }
         full_read = history_gone;
         if (!rows || !store_.reachable())
             co_await pause(retry_pause);
     }
 }
 
+asio::awaitable<void> configuration_watch::fetch_evacuations()
+{
+    auto const begun = steady_clock::now();
+    auto const peer = state_.roster.peer_with_evacuations(begun);
+    if (!peer)
+        co_return;
+    auto message = peer_link::make_message(wire::fetch_evacuations{});
+    auto const response = co_await call_peer(peers_, *peer, std::move(message),
+                                             begun + fetch_timeout);
+    if (!response)
+    {
+        log_event(log_level::warning, "evacuations_fetch_failed",
+                  {{"peer", *peer}, {"detail", response.error().error.detail}});
+        co_return;
+    }
+    auto const reply = decode_evacuations(response->evacuations_answer);
+    if (!reply)
+    {
+        log_event(log_level::warning, "evacuations_fetch_failed",
+                  {{"peer", *peer}, {"detail", reply.error().detail}});
+        co_return;
+    }
+    if (reply->version <= state_.evacuations.version())
+        co_return;
+    record_evacuations(state_.evacuations.replace(reply->rows, reply->version),
+                       *peer, begun);
+}
+
 asio::awaitable<void> configuration_watch::follow_peers()
 {
     for (;;)
     {
         co_await pause(peer_interval);
+        if (state_.evacuation_reads.is_overdue(steady_clock::now()))
+            co_await fetch_evacuations();
         auto const now = steady_clock::now();
         auto const newest = state_.roster.newest_configuration();
         if (newest <= state_.configuration_version)
--- a/libs/gateway/src/configuration_watch.hpp
+++ b/libs/gateway/src/configuration_watch.hpp
@@ -3,10 +3,13 @@
 
 #include "store_client.hpp"
 
+#include <set>
+
 namespace masticshift::gateway
 {
 
-/// Keeps the configuration up to date with the store and with peers.
+/// Keeps the configuration and the list of evacuated data centres up to date
+/// with the store and with peers.
 class configuration_watch
 {
 public:
@@ -19,12 +22,23 @@
     /// Applies each version that the store holds.
     asio::awaitable<void> follow_store();
 
-    /// Fetches newer versions from the peers whose heartbeats report them.
+    /// Fetches newer versions from the peers whose heartbeats report them;
+    /// evacuations only while reads of the store fail.
     asio::awaitable<void> follow_peers();
 
 private:
     asio::awaitable<bool> read_all();
-    void apply_rows(platform::store_rows const& rows);
+    /// Applies a version of the configuration among the rows, and returns those
+    /// that evacuate a data centre.
+    std::vector<dispatch::evacuation_row>
+    apply_rows(std::vector<platform::store_row> const& rows);
+    /// Makes a read of the evacuated data centres, by a call made at `begun`,
+    /// known to dispatchers and peers.
+    void
+    record_evacuations(std::vector<dispatch::evacuation_change> const& changes,
+                       std::string_view source, time_point begun);
+    /// Fetches the evacuated data centres from a peer that knows newer ones.
+    asio::awaitable<void> fetch_evacuations();
     void apply(std::string const& text, std::string_view source);
 
     gateway_state& state_;
@@ -32,6 +46,8 @@
     peer_link::peer_client& peers_;
     /// Store version up to which changes have been read.
     std::int64_t seen_version_ = 0;
+    /// Malformed keys of evacuations, each of which is logged once.
+    std::set<std::string> malformed_;
 };
 
 } // namespace masticshift::gateway
