--- a/libs/dispatch/include/dispatch/peer_liveness.hpp
+++ b/libs/dispatch/include/dispatch/peer_liveness.hpp
@@ -36,6 +36,9 @@
     {
         entry_heartbeat heartbeat;
         time_point last_received{};
+        /// When the heartbeat arrived. Jobs of the peer arrive later than that
+        /// and say nothing of its claims.
+        time_point claimed{};
         /// Since when it has been alive without interruption.
         time_point alive_since{};
         /// Since when heartbeats have gone to it in every interval.
--- a/libs/dispatch/include/dispatch/peer_roster.hpp
+++ b/libs/dispatch/include/dispatch/peer_roster.hpp
@@ -83,7 +83,8 @@
     /// Addresses for the next heartbeat.
     std::vector<std::string> targets(time_point now);
 
-    /// The dispatcher of each cell that takes new jobs, this entry or another.
+    /// The dispatcher of each cell that takes new jobs, this entry or another,
+    /// with the age of its claim.
     std::vector<cell_dispatcher> dispatchers(time_point now) const;
 
     /// The address of the dispatcher that takes new jobs of a cell.
@@ -231,6 +232,10 @@
     /// which heartbeats were received lately or passed on.
     template <class Function>
     void for_each_claim(time_point now, Function const& function) const;
+    /// The same with the time at which the claim was received, or was sent if
+    /// another entry has passed it on: `function(holder, claim, sent)`.
+    template <class Function>
+    void for_each_dated_claim(time_point now, Function const& function) const;
     dispatch_claim const* own_claim(std::string const& cell) const;
     /// The state of a cell as of now.
     cell_state& update_cell(std::string const& cell,
@@ -283,6 +288,18 @@
 
 template <class Function>
 void peer_roster::for_each_claim(time_point now, Function const& function) const
+{
+    for_each_dated_claim(now,
+                         [&](entry_identity const& holder,
+                             dispatch_claim const& claim, time_point)
+                         {
+                             function(holder, claim);
+                         });
+}
+
+template <class Function>
+void peer_roster::for_each_dated_claim(time_point now,
+                                       Function const& function) const
 {
     for (auto const& address : liveness_.claimants())
     {
@@ -290,14 +307,14 @@
         if (!liveness_.is_alive(known, now))
             continue;
         for (auto const& claim : known.heartbeat.claims)
-            function(known.heartbeat.sender, claim);
+            function(known.heartbeat.sender, claim, known.claimed);
     }
     relay_.for_each(liveness_, now,
                     [&](entry_identity const& holder,
-                        dispatch_claim const& claim, time_point)
+                        dispatch_claim const& claim, time_point sent)
                     {
                         if (holder.address != self_.address)
-                            function(holder, claim);
+                            function(holder, claim, sent);
                     });
 }
 
--- a/libs/dispatch/include/dispatch/peer_types.hpp
+++ b/libs/dispatch/include/dispatch/peer_types.hpp
@@ -68,6 +68,10 @@
 {
     std::string address;
     dispatch_claim claim;
+    /// Time since the dispatcher made the claim, as far as it is known here.
+    milliseconds age{0};
+    /// Another entry claims the cell too, and isn't handing it over.
+    bool contested = false;
 };
 
 /// The claim of an entry, passed on by another one.
--- a/libs/dispatch/src/peer_liveness.cpp
+++ b/libs/dispatch/src/peer_liveness.cpp
@@ -41,6 +41,7 @@
     known.heartbeat = heartbeat;
     known.heartbeat.relayed.clear();
     known.last_received = now;
+    known.claimed = now;
     known.refused = false;
     known.end_reported = false;
     known.hash = stable_hash(heartbeat.sender.address);
--- a/libs/dispatch/src/peer_roster.cpp
+++ b/libs/dispatch/src/peer_roster.cpp
@@ -158,18 +158,22 @@
 std::vector<cell_dispatcher> peer_roster::dispatchers(time_point now) const
 {
     std::map<std::string, cell_dispatcher> best;
-    auto const consider =
-        [&](entry_identity const& entry, dispatch_claim const& claim)
+    auto const consider = [&](entry_identity const& entry,
+                              dispatch_claim const& claim, time_point sent)
     {
         if (claim.retiring)
             return;
-        auto const known = best.find(claim.cell);
-        if (known == best.end() || known->second.claim.token < claim.token)
-            best[claim.cell] = {entry.address, claim};
+        auto const [known, added] = best.try_emplace(claim.cell);
+        bool const contested =
+            !added &&
+            (known->second.contested || known->second.address != entry.address);
+        if (added || known->second.claim.token < claim.token)
+            known->second = {entry.address, claim, since(sent, now)};
+        known->second.contested = contested;
     };
     for (auto const& claim : claims_)
-        consider(self_, claim);
-    for_each_claim(now, consider);
+        consider(self_, claim, now);
+    for_each_dated_claim(now, consider);
     std::vector<cell_dispatcher> all;
     all.reserve(best.size());
     for (auto& [cell, dispatcher] : best)
--- a/libs/dispatch/tests/peer_roster_test.cpp
+++ b/libs/dispatch/tests/peer_roster_test.cpp
@@ -322,3 +322,34 @@
     CHECK_FALSE(tested.wants_job(peer, submitted, back));
     CHECK(tested.wants_job(peer, back, back));
 }
+
+TEST_CASE("a claim keeps its age while only jobs arrive from its dispatcher")
+{
+    peer_roster tested(make_entry("10.0.0.1:1"), start);
+    auto const now = after_discovery;
+    auto const sender = make_entry("10.0.0.2:1");
+    tested.record_heartbeat(make_heartbeat(sender, make_claim(9, 3)), now);
+    auto const later = now + milliseconds(200);
+    tested.record_job_from(sender, later, later);
+    auto const known = tested.dispatchers(later);
+    REQUIRE(known.size() == 1);
+    CHECK(known.front().age == milliseconds(200));
+    CHECK_FALSE(known.front().contested);
+}
+
+TEST_CASE(
+    "a claim that was passed on has the age since its dispatcher sent it, "
+    "and a second dispatcher of the cell makes it contested")
+{
+    peer_roster tested(make_entry("10.0.0.1:1"), start);
+    auto const now = after_discovery;
+    auto passed_on = make_heartbeat(make_entry("10.0.0.2:1"), make_claim(9, 3));
+    passed_on.relayed.push_back(
+        {make_entry("10.0.0.3:1"), make_claim(10, 3), milliseconds(120)});
+    tested.record_heartbeat(passed_on, now);
+    auto const known = tested.dispatchers(now + milliseconds(30));
+    REQUIRE(known.size() == 1);
+    CHECK(known.front().address == "10.0.0.3:1");
+    CHECK(known.front().age == milliseconds(150));
+    CHECK(known.front().contested);
+}
