The newer of two claims of the same holder is used

Cause: an entry that once got a heartbeat from a dispatcher elsewhere used the claim in it until it expired, up to 450 ms, although newer copies of the claim arrived through its own data centre's dispatchers: both have the same token, and the direct one was looked at first. Found while measuring the ages that the choice of a cell sees.

A test holds that known claims are at most 250 ms old and uncontested, and that those from behind a cut are older, at 43 and 789 entries.

--- a/libs/dispatch/src/peer_roster.cpp
+++ b/libs/dispatch/src/peer_roster.cpp
@@ -163,13 +163,18 @@
     {
         if (claim.retiring)
             return;
-        auto const [known, added] = best.try_emplace(claim.cell);
-        bool const contested =
-            !added &&
-            (known->second.contested || known->second.address != entry.address);
-        if (added || known->second.claim.token < claim.token)
-            known->second = {entry.address, claim, since(sent, now)};
-        known->second.contested = contested;
+        cell_dispatcher const considered{entry.address, claim,
+                                         since(sent, now)};
+        auto const [found, added] = best.try_emplace(claim.cell, considered);
+        auto& known = found->second;
+        if (added)
+            return;
+        // A claim that was passed on may be newer than one from its holder.
+        bool const same = known.address == entry.address;
+        bool const contested = known.contested || !same;
+        if (same ? considered.age < known.age : known.claim.token < claim.token)
+            known = considered;
+        known.contested = contested;
     };
     for (auto const& claim : claims_)
         consider(self_, claim, now);
--- a/libs/dispatch/tests/membership_model_test.cpp
+++ b/libs/dispatch/tests/membership_model_test.cpp
@@ -30,6 +30,22 @@
 /// which a peer counts as dead, and two heartbeat intervals.
 constexpr milliseconds succession_limit{700};
 
+/// Claims up to this age show waits for which jobs are refused.
+constexpr milliseconds recent_claim{250};
+
+/// What each entry knows, by its address.
+std::vector<std::pair<std::string, cell_dispatcher>>
+known_claims(membership_model& model)
+{
+    std::vector<std::pair<std::string, cell_dispatcher>> all;
+    for (auto const& address : model.addresses())
+    {
+        for (auto& each : model.roster(address).dispatchers(model.now()))
+            all.emplace_back(address, std::move(each));
+    }
+    return all;
+}
+
 } // namespace
 
 TEST_CASE("cold start of all: each cell gets one dispatcher, at every size")
@@ -166,6 +182,31 @@
     }
 }
 
+TEST_CASE("known claims are recent, but not those from behind a cut")
+{
+    for (auto const& size : {sizes[1], large_sizes[1]})
+    {
+        CAPTURE(size.entries);
+        membership_model model(size, 0, 7);
+        model.run_for(milliseconds(4'000));
+        auto const known = known_claims(model);
+        REQUIRE(known.size() == size.entries * model.cells().size());
+        for (auto const& [address, each] : known)
+        {
+            CHECK(each.age <= recent_claim);
+            CHECK_FALSE(each.contested);
+        }
+        model.cut("dc1", true);
+        model.run_for(recent_claim + milliseconds(150));
+        for (auto const& [address, each] : known_claims(model))
+        {
+            bool const is_cut = each.claim.cell.starts_with("dc1/") !=
+                                (model.data_centre_of(address) == "dc1");
+            CHECK((each.age > recent_claim) == is_cut);
+        }
+    }
+}
+
 TEST_CASE("cut data centre: it keeps its dispatchers, and nobody else claims "
           "its cells before or after")
 {
