--- a/libs/dispatch/src/peer_roster.cpp
+++ b/libs/dispatch/src/peer_roster.cpp
@@ -158,18 +158,27 @@
 std::vector<cell_dispatcher> peer_roster::dispatchers(time_point now) const
 {
     std::map<std::string, cell_dispatcher> best;
-    auto const consider =
-        [&](entry_identity const& entry, dispatch_claim const& claim)
+    auto const consider = [&](entry_identity const& entry,
+                              dispatch_claim const& claim, time_point sent)
     {
         if (claim.retiring)
             return;
-        auto const known = best.find(claim.cell);
-        if (known == best.end() || known->second.claim.token < claim.token)
-            best[claim.cell] = {entry.address, claim};
+        cell_dispatcher const considered{entry.address, claim,
+                                         since(sent, now)};
+        auto const [found, added] = best.try_emplace(claim.cell, considered);
+        auto& known = found->second;
+        if (added)
+            return;
+        // A claim that was passed on may be newer than one from its holder.
+        bool const same = known.address == entry.address;
+        bool const contested = known.contested || !same;
+        if (same ? considered.age < known.age : known.claim.token < claim.token)
+            known = considered;
+        known.contested = contested;
     };
     for (auto const& claim : claims_)
-        consider(self_, claim);
-    for_each_claim(now, consider);
+        consider(self_, claim, now);
+    for_each_dated_claim(now, consider);
     std::vector<cell_dispatcher> all;
     all.reserve(best.size());
     for (auto& [cell, dispatcher] : best)
