--- a/libs/gateway/src/job_service.cpp
+++ b/libs/gateway/src/job_service.cpp
@@ -240,7 +240,8 @@
                 job->tried.busy.insert(job->cell);
                 continue;
             }
-            if (result.reason == dispatch::end_reason::overloaded)
+            if (result.reason == dispatch::end_reason::overloaded ||
+                result.reason == dispatch::end_reason::displaced)
             {
                 job->tried.overloaded.insert(job->cell);
                 refusal = result;
