Usable capacity is learnt; load model with priorities and sizes

Cause: the expected waits were computed from the sum of all capacities, but what is left on an endpoint beside its tasks is often too small for those that wait, so waits came out too short and refusals late.

Change: while a task waits that fits nowhere, the part of the sum that is in use is averaged; waits use this part, never under half of the sum. Only with several priorities.

--- a/libs/dispatch/src/dispatcher_impl.hpp
+++ b/libs/dispatch/src/dispatcher_impl.hpp
@@ -8,6 +8,7 @@
 
 #include <dispatch/dispatcher.hpp>
 #include <overload/demand_estimator.hpp>
+#include <overload/usable_capacity.hpp>
 
 #include <deque>
 #include <set>
@@ -96,8 +97,11 @@
                           tracked_job const& newcomer, time_point now) const;
     duration backlog() const;
     /// Total thousandths of a core, in use or free, of endpoints that take work
-    /// or are about to.
+    /// or are about to; with several priorities only the part that tasks can
+    /// use.
     std::int64_t usable_processor() const;
+    /// A task waits that fits nowhere.
+    void observe_full(time_point now);
     /// Estimated work of the job's waiting tasks: thousandths of a core times
     /// run time. All of them count with the need and run time of the first
     /// step.
@@ -176,6 +180,7 @@
     account_map accounts_;
     wait_queue queue_;
     overload::demand_estimator demand_;
+    overload::usable_capacity usable_capacity_;
     std::unordered_map<std::string, job_ptr> jobs_;
     std::vector<start_order> starts_;
     std::vector<stop_order> stops_;
--- a/libs/dispatch/src/dispatcher_jobs.cpp
+++ b/libs/dispatch/src/dispatcher_jobs.cpp
@@ -331,7 +331,22 @@
         if (account->takes_work() || account->is_being_read())
             processor += account->record().capacity.processor;
     }
-    return processor;
+    return demand_.mixed() ? usable_capacity_.of(processor) : processor;
+}
+
+void dispatcher::impl::observe_full(time_point now)
+{
+    std::int64_t used = 0;
+    std::int64_t sum = 0;
+    for (auto const& [id, account] : accounts_)
+    {
+        if (!account->takes_work())
+            continue;
+        auto const all = account->record().capacity.processor;
+        sum += all;
+        used += all - std::max<std::int64_t>(account->free().processor, 0);
+    }
+    usable_capacity_.observe_full(used, sum, now);
 }
 
 duration dispatcher::impl::waiting_work(tracked_job const& job) const
--- a/libs/dispatch/src/dispatcher_placement.cpp
+++ b/libs/dispatch/src/dispatcher_placement.cpp
@@ -83,6 +83,7 @@
     if (queue_.jobs().empty() || now > records_usable_until_)
         return;
     auto largest = largest_free();
+    std::size_t waiting_without_room = 0;
     std::vector<job_ptr> placed;
     std::vector<job_ptr> started;
     queue_.visit(
@@ -93,7 +94,10 @@
             if (largest <= 0)
                 return std::nullopt;
             if (job->spec.steps.size() == 1 && step.need.processor > largest)
+            {
+                ++waiting_without_room;
                 return 0.0;
+            }
             // A late job must not take capacity from jobs that are in time,
             // unless all its first tasks can start.
             if (key.rank == wait_class::late &&
@@ -114,6 +118,8 @@
             queue_.charge(key.priority, work);
             return work;
         });
+    if (demand_.mixed() && waiting_without_room > 0)
+        observe_full(now);
     for (auto const& job : placed)
         queue_.remove(*job);
     for (auto const& job : started)
--- a/libs/dispatch/tests/load_model.cpp
+++ b/libs/dispatch/tests/load_model.cpp
@@ -72,13 +72,18 @@
 
 void load_model::add_endpoint(std::size_t cell)
 {
-    // Speeds as in the deployments: one in four is slow.
-    auto const number = ++endpoint_count_;
+    auto const number = static_cast<std::size_t>(++endpoint_count_);
     auto const id = "e" + std::to_string(number);
     auto record = make_endpoint(id);
     record.data_centre = cells_[cell].data_centre;
-    modelled_endpoint added{endpoint_model(record), cell,
-                            number % 4 == 0 ? 0.55 : 1.2, false, false};
+    record.capacity.processor =
+        options_.processors[(number - 1) % options_.processors.size()];
+    record.capacity.memory_mb = 1'000'000;
+    // Independent of the processors, whose number may be even too.
+    auto const& speeds = options_.speeds;
+    auto const speed =
+        speeds[(number - 1) / options_.processors.size() % speeds.size()];
+    modelled_endpoint added{endpoint_model(record), cell, speed, false, false};
     endpoints_.emplace(id, std::move(added));
     cells_[cell].tested->update_endpoint(record);
     flush(cell);
@@ -129,25 +134,56 @@
        });
 }
 
+double load_model::spread(double deviation)
+{
+    return deviation <= 0 ? 1
+                          : std::exp(std::normal_distribution<double>(
+                                0, deviation)(random_));
+}
+
+arrival load_model::draw(job_kind const& kind)
+{
+    arrival drawn;
+    drawn.kind = kind.name;
+    drawn.arrived = now_;
+    auto const tasks = std::min(4.0, spread(kind.tasks_spread));
+    drawn.tasks =
+        std::max(1, static_cast<int>(std::lround(kind.tasks * tasks)));
+    auto const processor = std::min(1.5, spread(kind.processor_spread));
+    drawn.processor =
+        std::llround(static_cast<double>(kind.processor) * processor);
+    auto const longer = kind.long_part > 0 && chance(kind.long_part) ? 7 : 1;
+    drawn.run_time = milliseconds(std::max<std::int64_t>(
+        1, std::llround(to_milliseconds(kind.run_time) * longer *
+                        spread(kind.run_time_spread))));
+    auto const spec = make_spec("", 1);
+    drawn.objective = now_ +
+                      std::chrono::duration_cast<duration>(drawn.run_time *
+                                                           spec.slack_factor) +
+                      spec.target_latency;
+    return drawn;
+}
+
 void load_model::submit(job_kind const& kind, int data_centre)
 {
     auto const id = "job" + std::to_string(++job_count_);
+    arrival const arrived = draw(kind);
+    arrivals_.push_back(arrived);
     open_job job;
-    job.spec = make_spec(id, kind.tasks);
+    job.spec = make_spec(id, arrived.tasks);
     job.spec.queue = kind.name;
-    job.spec.steps[0].need.processor = kind.processor;
+    job.spec.priority = options_.one_priority ? 0 : kind.priority;
+    job.spec.caller_timeout = kind.caller_timeout;
+    job.spec.steps[0].need.processor = arrived.processor;
     // Declared run times are off by some 40 %.
     auto const error =
         std::exp(std::normal_distribution<double>(0, 0.4)(random_));
-    run_times_[id] = kind.run_time;
+    run_times_[id] = arrived.run_time;
     job.spec.steps[0].estimate = milliseconds(std::max<std::int64_t>(
-        1, std::llround(to_milliseconds(kind.run_time) * error)));
+        1, std::llround(to_milliseconds(arrived.run_time) * error)));
     job.kind = kind.name;
     job.arrived = now_;
-    job.objective = now_ +
-                    std::chrono::duration_cast<duration>(
-                        kind.run_time * job.spec.slack_factor) +
-                    job.spec.target_latency;
+    job.objective = arrived.objective;
     job.data_centre = data_centre >= 0
                           ? data_centre
                           : static_cast<int>(job_count_ % cells_.size());
--- a/libs/dispatch/tests/load_model.hpp
+++ b/libs/dispatch/tests/load_model.hpp
@@ -27,6 +27,16 @@
     std::int64_t processor = 8'000;
     milliseconds run_time{60};
     double per_second = 10;
+    int priority = 0;
+    milliseconds caller_timeout{5'000};
+    /// Standard deviations of the logarithms of the number of tasks (at most
+    /// four times `tasks`), of the processor (at most 1.5 times) and of the run
+    /// time.
+    double tasks_spread = 0;
+    double processor_spread = 0;
+    double run_time_spread = 0;
+    /// This part of the jobs takes seven times as long.
+    double long_part = 0;
 };
 
 /// What became of the jobs of one kind.
@@ -48,6 +58,18 @@
     }
 };
 
+/// A job as a planner knows it that knows all arrivals.
+struct arrival
+{
+    std::string kind;
+    time_point arrived;
+    time_point objective;
+    int tasks = 1;
+    std::int64_t processor = 0;
+    /// On an endpoint of speed 1.
+    milliseconds run_time{0};
+};
+
 /// Faults of calls to endpoints: probabilities.
 struct call_faults
 {
@@ -67,9 +89,16 @@
         int cells = 1;
         int endpoints_per_cell = 48;
         unsigned seed = 1;
+        /// Speeds and thousandths of a core of the endpoints, in turn. One in
+        /// four is slow in the small deployments.
+        std::vector<double> speeds{1.2, 1.2, 1.2, 0.55};
+        std::vector<std::int64_t> processors{16'000};
+        /// All jobs are submitted with priority 0.
+        bool one_priority = false;
     };
 
-    explicit load_model(options const& chosen) : random_(chosen.seed)
+    explicit load_model(options const& chosen)
+        : random_(chosen.seed), options_(chosen)
     {
         for (int number = 0; number < chosen.cells; ++number)
             add_cell(number, chosen.endpoints_per_cell);
@@ -114,6 +143,12 @@
         return starts_;
     }
 
+    /// All jobs that have arrived so far.
+    std::vector<arrival> const& arrivals() const
+    {
+        return arrivals_;
+    }
+
 private:
     struct modelled_cell
     {
@@ -230,7 +265,14 @@
 
     void list_failed(std::string const& id);
 
+    /// A factor with this standard deviation of its logarithm.
+    double spread(double deviation);
+
+    arrival draw(job_kind const& kind);
+
     std::mt19937 random_;
+    options options_;
+    std::vector<arrival> arrivals_;
     time_point now_ = time_point{} + std::chrono::seconds(1'000);
     std::priority_queue<event, std::vector<event>, later> events_;
     std::size_t event_count_ = 0;
