Usable capacity counts the learnt speeds of the endpoints

Cause: work counts with the run time at speed 1, the capacity did not, so that the learnt part of it was too small on fast endpoints and jobs were refused while they could be served.

Change: capacities are multiplied with the learnt speeds, and the result is bounded by the plain sum and half of it. Only with several priorities.

--- a/libs/dispatch/src/dispatcher_jobs.cpp
+++ b/libs/dispatch/src/dispatcher_jobs.cpp
@@ -1,6 +1,7 @@
 #include "dispatcher_impl.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace masticshift::dispatch
@@ -326,12 +327,23 @@
 std::int64_t dispatcher::impl::usable_processor() const
 {
     std::int64_t processor = 0;
+    double at_speed = 0;
     for (auto const& [id, account] : accounts_)
     {
-        if (account->takes_work() || account->is_being_read())
-            processor += account->record().capacity.processor;
+        if (!account->takes_work() && !account->is_being_read())
+            continue;
+        auto const& record = account->record();
+        processor += record.capacity.processor;
+        if (demand_.mixed())
+            at_speed += static_cast<double>(record.capacity.processor) *
+                        speeds_.speed(record.vm);
     }
-    return demand_.mixed() ? usable_capacity_.of(processor) : processor;
+    if (!demand_.mixed())
+        return processor;
+    // Work counts with the run time at speed 1. Bounded, as speeds may be
+    // learnt wrongly.
+    return std::clamp(usable_capacity_.of(std::llround(at_speed)),
+                      processor / 2, processor);
 }
 
 void dispatcher::impl::observe_full(time_point now)
