--- a/libs/dispatch/include/dispatch/dispatcher.hpp
+++ b/libs/dispatch/include/dispatch/dispatcher.hpp
@@ -44,6 +44,8 @@
     /// Start time of the endpoint's process that the decision assumes, in Unix
     /// milliseconds. 0 where the process is unknown or does not matter.
     std::int64_t process_started_ms = 0;
+    /// Of the job, for `job_ended`.
+    std::optional<int> priority = {};
 };
 
 /// State of one endpoint, for operators.
--- a/libs/dispatch/src/dispatcher_jobs.cpp
+++ b/libs/dispatch/src/dispatcher_jobs.cpp
@@ -19,6 +19,9 @@
 /// the arrivals.
 constexpr double min_drain_rate = 0.2;
 
+/// Longer than any job waits.
+constexpr std::chrono::hours started_lead{1};
+
 /// Bound of the number of expected waits, as in a claim.
 constexpr int max_claimed_waits = 8;
 
@@ -301,7 +304,7 @@
                                         tracked_job const& newcomer,
                                         time_point now) const
 {
-    return key.rank == wait_class::in_time &&
+    return key.rank == wait_class::in_time && !job.start_ordered &&
            job.spec.priority > newcomer.spec.priority && now < early_end(job) &&
            !has_live_runs(job);
 }
@@ -395,7 +398,12 @@
     auto const rank = job->start_ordered   ? wait_class::started
                       : now > latest_start ? wait_class::late
                                            : wait_class::in_time;
-    queue_.put(job, rank, latest_start);
+    // A started job comes first within its priority, but not before more urgent
+    // ones that use less than their share.
+    if (rank == wait_class::started && demand_.mixed())
+        queue_.put(job, wait_class::in_time, latest_start - started_lead);
+    else
+        queue_.put(job, rank, latest_start);
 }
 
 void dispatcher::impl::finish(job_ptr const& job, job_result result,
@@ -423,6 +431,7 @@
     }
     record_decision("job_ended", *job, {}, {}, name_of(result.reason),
                     to_milliseconds(now - job->accepted));
+    decisions_.back().priority = job->spec.priority;
     finished_.push_back({job->spec.id, job->origin, result, job->accepted});
 }
 
@@ -494,7 +503,7 @@
         // `place` has already tried to start the late job on idle endpoints.
         if (key.rank == wait_class::late)
             late.push_back(job);
-        else if (key.rank == wait_class::in_time &&
+        else if (key.rank == wait_class::in_time && !job->start_ordered &&
                  (now > key.latest_start ||
                   (!job->wait_checked && now >= early_end(*job))))
             due.push_back(job);
--- a/libs/dispatch/src/dispatcher_placement.cpp
+++ b/libs/dispatch/src/dispatcher_placement.cpp
@@ -111,12 +111,13 @@
             largest = largest_free();
             if (job->waiting_tasks == 0)
                 placed.push_back(job);
-            else if (job->start_ordered && key.rank != wait_class::started)
+            else if (key.rank != wait_class::started)
                 started.push_back(job);
             if (key.rank != wait_class::in_time)
                 return 0.0;
-            queue_.charge(key.priority, work);
-            return work;
+            auto const taken = work * (before - job->waiting_tasks) / before;
+            queue_.charge(key.priority, taken);
+            return taken;
         });
     if (demand_.mixed() && waiting_without_room > 0)
         observe_full(now);
--- a/libs/gateway/src/decision_log.cpp
+++ b/libs/gateway/src/decision_log.cpp
@@ -24,6 +24,8 @@
             fields["reason"] = each.reason;
         if (each.process_started_ms != 0)
             fields["process"] = each.process_started_ms;
+        if (each.priority)
+            fields["priority"] = *each.priority;
         log_event(log_level::info, each.event, std::move(fields));
     }
 }
