--- a/libs/dispatch/src/dispatcher_jobs.cpp
+++ b/libs/dispatch/src/dispatcher_jobs.cpp
@@ -1,6 +1,7 @@
 #include "dispatcher_impl.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace masticshift::dispatch
@@ -18,6 +19,9 @@
 /// the arrivals.
 constexpr double min_drain_rate = 0.2;
 
+/// Longer than any job waits.
+constexpr std::chrono::hours started_lead{1};
+
 /// Bound of the number of expected waits, as in a claim.
 constexpr int max_claimed_waits = 8;
 
@@ -305,7 +309,7 @@
                                         tracked_job const& newcomer,
                                         time_point now) const
 {
-    return key.rank == wait_class::in_time &&
+    return key.rank == wait_class::in_time && !job.start_ordered &&
            job.spec.priority > newcomer.spec.priority && now < early_end(job) &&
            !has_live_runs(job);
 }
@@ -331,12 +335,38 @@
 std::int64_t dispatcher::impl::usable_processor() const
 {
     std::int64_t processor = 0;
+    double at_speed = 0;
+    for (auto const& [id, account] : accounts_)
+    {
+        if (!account->takes_work() && !account->is_being_read())
+            continue;
+        auto const& record = account->record();
+        processor += record.capacity.processor;
+        if (demand_.mixed())
+            at_speed += static_cast<double>(record.capacity.processor) *
+                        speeds_.speed(record.vm);
+    }
+    if (!demand_.mixed())
+        return processor;
+    // Work counts with the run time at speed 1. Bounded, as speeds may be
+    // learnt wrongly.
+    return std::clamp(usable_capacity_.of(std::llround(at_speed)),
+                      processor / 2, processor);
+}
+
+void dispatcher::impl::observe_full(time_point now)
+{
+    std::int64_t used = 0;
+    std::int64_t sum = 0;
     for (auto const& [id, account] : accounts_)
     {
-        if (account->takes_work() || account->is_being_read())
-            processor += account->record().capacity.processor;
+        if (!account->takes_work())
+            continue;
+        auto const all = account->record().capacity.processor;
+        sum += all;
+        used += all - std::max<std::int64_t>(account->free().processor, 0);
     }
-    return processor;
+    usable_capacity_.observe_full(used, sum, now);
 }
 
 duration dispatcher::impl::waiting_work(tracked_job const& job) const
@@ -373,7 +403,12 @@
     auto const rank = job->start_ordered   ? wait_class::started
                       : now > latest_start ? wait_class::late
                                            : wait_class::in_time;
-    queue_.put(job, rank, latest_start);
+    // A started job comes first within its priority, but not before more urgent
+    // ones that use less than their share.
+    if (rank == wait_class::started && demand_.mixed())
+        queue_.put(job, wait_class::in_time, latest_start - started_lead);
+    else
+        queue_.put(job, rank, latest_start);
 }
 
 void dispatcher::impl::finish(job_ptr const& job, job_result result,
@@ -401,6 +436,7 @@
     }
     record_decision("job_ended", *job, {}, {}, name_of(result.reason),
                     to_milliseconds(now - job->accepted));
+    decisions_.back().priority = job->spec.priority;
     finished_.push_back({job->spec.id, job->origin, result, job->accepted});
 }
 
@@ -487,7 +523,7 @@
         // `place` has already tried to start the late job on idle endpoints.
         if (key.rank == wait_class::late)
             late.push_back(job);
-        else if (key.rank == wait_class::in_time &&
+        else if (key.rank == wait_class::in_time && !job->start_ordered &&
                  (now > key.latest_start ||
                   (!job->wait_checked && now >= early_end(*job))))
             due.push_back(job);
--- a/libs/dispatch/src/dispatcher_placement.cpp
+++ b/libs/dispatch/src/dispatcher_placement.cpp
@@ -88,6 +88,7 @@
     if (queue_.jobs().empty() || now > records_usable_until_)
         return;
     auto largest = largest_free();
+    std::size_t waiting_without_room = 0;
     std::vector<job_ptr> placed;
     std::vector<job_ptr> started;
     queue_.visit(
@@ -98,7 +99,10 @@
             if (largest <= 0)
                 return std::nullopt;
             if (job->spec.steps.size() == 1 && step.need.processor > largest)
+            {
+                ++waiting_without_room;
                 return 0.0;
+            }
             // A late job must not take capacity from jobs that are in time,
             // unless all its first tasks can start.
             if (key.rank == wait_class::late &&
@@ -112,13 +116,16 @@
             largest = largest_free();
             if (job->waiting_tasks == 0)
                 placed.push_back(job);
-            else if (job->start_ordered && key.rank != wait_class::started)
+            else if (key.rank != wait_class::started)
                 started.push_back(job);
             if (key.rank != wait_class::in_time)
                 return 0.0;
-            queue_.charge(key.priority, work);
-            return work;
+            auto const taken = work * (before - job->waiting_tasks) / before;
+            queue_.charge(key.priority, taken);
+            return taken;
         });
+    if (demand_.mixed() && waiting_without_room > 0)
+        observe_full(now);
     for (auto const& job : placed)
         queue_.remove(*job);
     for (auto const& job : started)
