--- a/libs/dispatch/include/dispatch/endpoint_record.hpp
+++ b/libs/dispatch/include/dispatch/endpoint_record.hpp
@@ -1,6 +1,7 @@
 #ifndef MASTICSHIFT_DISPATCH_ENDPOINT_RECORD_HPP
 #define MASTICSHIFT_DISPATCH_ENDPOINT_RECORD_HPP
 
+#include <core/time.hpp>
 #include <dispatch/resources.hpp>
 
 #include <cstdint>
@@ -36,6 +37,16 @@
     /// Unix time of its start in milliseconds. Distinguishes the incarnations
     /// of one id.
     std::int64_t started_ms = 0;
+    /// How much longer it stays slow after its start, when the record was
+    /// written.
+    milliseconds cold_left{0};
+    /// The same as a time, set by `endpoint_registry::take_changes`.
+    time_point cold_until{};
+
+    bool is_cold(time_point now) const
+    {
+        return now < cold_until;
+    }
 
     bool has_label(std::string const& label) const;
 
--- a/libs/dispatch/src/dispatcher_placement.cpp
+++ b/libs/dispatch/src/dispatcher_placement.cpp
@@ -159,6 +159,7 @@
     run.need = step.need;
     run.alone = history.alone;
     run.expected = place.expected;
+    run.cold = place.endpoint->record().is_cold(now);
     auto const until = place.endpoint->add_run(key, run, now);
     ++live_runs_[task.name];
     starts_.push_back({task.endpoint, key, job->spec.payload, until,
@@ -238,8 +239,10 @@
     auto& task = job->tasks[finished.run.task];
     auto const& step = job->spec.steps[static_cast<std::size_t>(task.step)];
     record_success(account);
-    speeds_.observe(job->spec.queue, account.record().vm, step.estimate,
-                    now - finished.run.ordered);
+    // A cold endpoint's run time says nothing of its VM.
+    if (!finished.run.cold)
+        speeds_.observe(job->spec.queue, account.record().vm, step.estimate,
+                        now - finished.run.ordered);
     record_decision("task_ended", *job, finished.key.task, account.record().id,
                     "done", to_milliseconds(now - finished.run.ordered));
     finish_task(*job, task);
--- a/libs/dispatch/src/dispatcher_progress.cpp
+++ b/libs/dispatch/src/dispatcher_progress.cpp
@@ -66,8 +66,10 @@
             continue;
         auto const& step =
             run.job->spec.steps[static_cast<std::size_t>(task.step)];
-        speeds_.observe_lower_bound(run.job->spec.queue, account.record().vm,
-                                    step.estimate, now - run.confirmed);
+        if (!run.cold)
+            speeds_.observe_lower_bound(run.job->spec.queue,
+                                        account.record().vm, step.estimate,
+                                        now - run.confirmed);
         if (judged == progress::stuck)
             record_failure(account, endpoint_failure::run_stuck, now);
         record_decision(
--- a/libs/dispatch/src/endpoint_account.hpp
+++ b/libs/dispatch/src/endpoint_account.hpp
@@ -60,6 +60,9 @@
     /// An endpoint has crashed under the task before: nothing else is placed
     /// beside it.
     bool alone = false;
+    /// The endpoint was cold when the run was ordered: its run time says
+    /// nothing of the VM.
+    bool cold = false;
     /// What the end of the endpoint's process says about the task; reset when
     /// the run is listed again.
     crash_evidence crash = crash_evidence::none;
--- a/libs/dispatch/src/endpoint_registry.cpp
+++ b/libs/dispatch/src/endpoint_registry.cpp
@@ -112,7 +112,12 @@
             continue;
         }
         if (std::exchange(known.changed, false))
-            changes.updated.push_back(known.known.record);
+        {
+            auto record = known.known.record;
+            if (record.cold_left > milliseconds(0))
+                record.cold_until = now + record.cold_left;
+            changes.updated.push_back(std::move(record));
+        }
         ++each;
     }
     return changes;
--- a/libs/dispatch/src/placement_choice.cpp
+++ b/libs/dispatch/src/placement_choice.cpp
@@ -76,7 +76,7 @@
                                    time_point now,
                                    run_history const& history) const
 {
-    using rank = std::tuple<bool, bool, int, std::int64_t>;
+    using rank = std::tuple<bool, bool, int, bool, std::int64_t>;
     placement best;
     rank best_rank;
     for (auto const& [id, account] : accounts_)
@@ -91,6 +91,7 @@
             account->health().trust(now) == endpoint_trust::full;
         bool const shared = history.alone && !account->runs().empty();
         rank const candidate{shared, !trusted, speed_class(expected),
+                             account->record().is_cold(now),
                              account->free().processor};
         if (best.endpoint != nullptr && candidate >= best_rank)
             continue;
--- a/libs/dispatch/src/placement_choice.hpp
+++ b/libs/dispatch/src/placement_choice.hpp
@@ -42,11 +42,11 @@
     }
 
     /// The endpoint with enough free capacity on which the task is expected to
-    /// end first; among about equally fast ones, the one with the least free
-    /// processor (best fit). Fully trusted endpoints come before those on
-    /// probation. Only endpoints on which the task ends before `finish_by` are
-    /// considered; `endpoint` is null if there is none. A task that is to run
-    /// `alone` gets an idle endpoint if there is one.
+    /// end first; among about equally fast ones, warm before cold, the one with
+    /// the least free processor (best fit). Fully trusted endpoints come before
+    /// those on probation. Only endpoints on which the task ends before
+    /// `finish_by` are considered; `endpoint` is null if there is none. A task
+    /// that is to run `alone` gets an idle endpoint if there is one.
     placement choose(tracked_job const& job, job_step const& step,
                      int step_number, time_point finish_by, time_point now,
                      run_history const& history = {}) const;
--- a/libs/dispatch/tests/evacuated_cell_test.cpp
+++ b/libs/dispatch/tests/evacuated_cell_test.cpp
@@ -2,6 +2,8 @@
 
 #include "dispatcher_fixture.hpp"
 
+#include <dispatch/cell_choice.hpp>
+
 #include <doctest/doctest.h>
 
 namespace masticshift::dispatch
@@ -93,4 +95,30 @@
     CHECK(f.tested.take_stops().size() == 1);
 }
 
+TEST_CASE("an evacuated cell is not chosen, even if it is the only idle one or "
+          "the only one")
+{
+    std::vector<cell_dispatcher> cells(2);
+    cells[0].address = "a:1";
+    cells[0].claim.cell = "north/0/1";
+    cells[0].claim.free_processor = 100'000;
+    cells[1].address = "b:1";
+    cells[1].claim.cell = "south/0/1";
+    cells[1].claim.backlog = milliseconds(500);
+    auto const job = make_spec("a", 1);
+    tried_cells tried;
+    REQUIRE(choose_cell(cells, "north", job, tried));
+    CHECK(choose_cell(cells, "north", job, tried)->cell == "north/0/1");
+    // Refused before the claim that says so has arrived.
+    tried.evacuated.insert("north/0/1");
+    REQUIRE(choose_cell(cells, "north", job, tried));
+    CHECK(choose_cell(cells, "north", job, tried)->cell == "south/0/1");
+    tried = {};
+    cells[0].claim.evacuated = true;
+    REQUIRE(choose_cell(cells, "north", job, tried));
+    CHECK(choose_cell(cells, "north", job, tried)->cell == "south/0/1");
+    cells[1].claim.evacuated = true;
+    CHECK_FALSE(choose_cell(cells, "north", job, tried));
+}
+
 } // namespace masticshift::dispatch
--- a/libs/gateway/tests/evacuation_test.cpp
+++ b/libs/gateway/tests/evacuation_test.cpp
@@ -4,6 +4,8 @@
 
 #include <doctest/doctest.h>
 
+#include <thread>
+
 using namespace masticshift;
 using masticshift::gateway::deployment;
 
@@ -180,3 +182,26 @@
         },
         milliseconds(5'000)));
 }
+
+// The write, the pause and the responses that were waiting when it ended came
+// in this order: jobs started by the list from before the pause.
+TEST_CASE("jobs that wait during a pause do not start after it in a data "
+          "centre that was evacuated meanwhile")
+{
+    deployment fixture;
+    fixture.add_endpoints("north", 1);
+    fixture.add_gateway("north", 0.25);
+    REQUIRE(fixture.run_until_ready(0));
+    fixture.platform().configure(2, milliseconds(500));
+    fixture.run(notice_time);
+    std::vector<std::shared_ptr<deployment::pending_answer>> jobs;
+    for (unsigned id = 1; id <= 4; ++id)
+        jobs.push_back(fixture.submit(0, id, 1));
+    fixture.run(milliseconds(150));
+    auto const before = starts_in(fixture, "north");
+    CHECK(before == 2);
+    fixture.platform().evacuate("north");
+    std::this_thread::sleep_for(milliseconds(1'100));
+    fixture.run(milliseconds(1'500));
+    CHECK(starts_in(fixture, "north") == before);
+}
--- a/libs/gateway/tests/peer_wire_test.cpp
+++ b/libs/gateway/tests/peer_wire_test.cpp
@@ -104,3 +104,22 @@
     slack.slack_factor = std::numeric_limits<double>::quiet_NaN();
     CHECK_FALSE(from_wire(slack).has_value());
 }
+
+// With such a version no later read of the store would have been applied.
+TEST_CASE("evacuated data centres with a version out of range are refused, and "
+          "empty names left out")
+{
+    wire::fetch_evacuations_reply reply;
+    reply.version = 7;
+    reply.data_centres = {"north", ""};
+    auto const decoded = decode_evacuations(reply);
+    REQUIRE(decoded.has_value());
+    REQUIRE(decoded->rows.size() == 1);
+    CHECK(decoded->rows[0].data_centre == "north");
+    for (auto const version :
+         {std::int64_t(-1), std::numeric_limits<std::int64_t>::max()})
+    {
+        reply.version = version;
+        CHECK_FALSE(decode_evacuations(reply).has_value());
+    }
+}
--- a/libs/test_support/include/test_support/gateway_standin.hpp
+++ b/libs/test_support/include/test_support/gateway_standin.hpp
@@ -22,7 +22,7 @@
 inline constexpr milliseconds drain_limit{2'000};
 
 /// Nothing may start in an evacuated data centre later than this after the row
-/// was written.
+/// was written, or was readable again after an outage of the store.
 inline constexpr milliseconds evacuation_limit{5'000};
 
 /// Faults of the store and the endpoints.
@@ -75,6 +75,7 @@
     /// Tasks started in an evacuated data centre later than `evacuation_limit`
     /// after the write.
     std::vector<std::string> evacuated_starts;
+    std::size_t evacuations = 0;
     /// By data centre.
     std::map<std::string, std::size_t> starts_in;
     /// Tasks whose start arrived at a process of an endpoint that had not
--- a/libs/test_support/src/standin_store.cpp
+++ b/libs/test_support/src/standin_store.cpp
@@ -82,11 +82,17 @@
                       transport::http_request request)
 {
     while (self->faults_->store_silent)
+    {
+        self->unavailable_at_ = steady_clock::now();
         co_await wait_for(fault_poll_interval);
+    }
     if (self->faults_->store_delay.count() > 0)
         co_await wait_for(self->faults_->store_delay);
     if (self->faults_->store_down)
+    {
+        self->unavailable_at_ = steady_clock::now();
         co_return make_response(status_unavailable, {});
+    }
     auto const path = transport::path_of(request.target);
     if (path == "/rows-tx")
         co_return self->commit(request.body);
--- a/libs/test_support/src/standin_store.hpp
+++ b/libs/test_support/src/standin_store.hpp
@@ -24,6 +24,12 @@
     outcome<void> listen(std::uint16_t port);
     std::uint16_t port() const;
 
+    /// When it last refused a call or left it without a response.
+    time_point unavailable_at() const
+    {
+        return unavailable_at_;
+    }
+
     /// Writes a row in a transaction of its own.
     void write(std::string const& table, std::string const& key,
                std::string value);
@@ -48,6 +54,7 @@
     asio::any_io_executor executor_;
     std::shared_ptr<platform_faults> faults_;
     row_table rows_;
+    time_point unavailable_at_{};
     std::unique_ptr<transport::http_server> server_;
 };
 
--- a/tools/gateway_soak/src/main.cpp
+++ b/tools/gateway_soak/src/main.cpp
@@ -21,6 +21,8 @@
 DEFINE_bool(abandoned, false,
             "hold data on links between gateways and pause gateways, so that "
             "jobs arrive after those who sent them have given up");
+DEFINE_bool(evacuations, false,
+            "evacuate data centres while entries and the store fail");
 DEFINE_bool(keep, false, "keep the logs of all runs, also of those that pass");
 DEFINE_string(program, "",
               "path of masticshiftd; default: in the folder of this program");
@@ -57,6 +59,8 @@
         return gateway_soak::fault_set::handovers;
     if (FLAGS_abandoned)
         return gateway_soak::fault_set::abandoned_jobs;
+    if (FLAGS_evacuations)
+        return gateway_soak::fault_set::evacuations;
     return FLAGS_links ? gateway_soak::fault_set::links
                        : gateway_soak::fault_set::all;
 }
--- a/tools/gateway_soak/src/soak_fault.cpp
+++ b/tools/gateway_soak/src/soak_fault.cpp
@@ -17,7 +17,11 @@
     "lost_orders",           "late_orders",          "failed_runs",
     "silent_endpoint",       "restarted_endpoint",   "draining_endpoint",
     "new_configuration",     "refuse_endpoint_link", "reset_endpoint_link",
-    "one_way_endpoint_link", "held_orders",          "hold_peer_link"};
+    "one_way_endpoint_link", "held_orders",          "hold_peer_link",
+    "evacuate_data_centre"};
+
+constexpr auto first_evacuation =
+    static_cast<std::size_t>(fault_kind::evacuate_data_centre);
 
 constexpr auto first_endpoint_link_fault =
     static_cast<std::size_t>(fault_kind::refuse_endpoint_link);
@@ -35,6 +39,10 @@
 constexpr int shortest_fault_ms = 100;
 constexpr int longest_fault_ms = 3'000;
 
+/// Evacuations last this many times as long, so that most of them outlast the
+/// time in which they must take effect.
+constexpr int evacuation_factor = 5;
+
 } // namespace
 
 std::string_view name_of(fault_kind kind)
@@ -48,7 +56,7 @@
     switch (set)
     {
     case fault_set::all:
-        return faults_before(fault_kinds);
+        return faults_before(first_evacuation);
     case fault_set::first:
         return faults_before(first_endpoint_link_fault);
     case fault_set::handovers:
@@ -65,6 +73,14 @@
     case fault_set::abandoned_jobs:
         return {hold_peer_link, hold_peer_link, hold_peer_link, pause_gateway,
                 pause_gateway,  cut_peer_link,  kill_gateway};
+    case fault_set::evacuations:
+        return {
+            evacuate_data_centre, evacuate_data_centre, evacuate_data_centre,
+            kill_gateway,         stop_gateway,         pause_gateway,
+            pause_gateway,        cut_peer_link,        cut_store_link,
+            cut_store_link,       store_down,           store_silent,
+            store_slow,           history_gone,         lost_orders,
+            restarted_endpoint};
     }
     return {};
 }
@@ -86,6 +102,8 @@
         fault.kind = kinds[static_cast<std::size_t>(drawn)];
         fault.at = at;
         fault.length = milliseconds(pick(shortest_fault_ms, longest_fault_ms));
+        if (fault.kind == fault_kind::evacuate_data_centre)
+            fault.length *= evacuation_factor;
         fault.target = static_cast<std::size_t>(pick(0, 1'000));
         plan.push_back(fault);
         at += milliseconds(pick(0, 2 * mean_pause_ms));
--- a/tools/gateway_soak/src/soak_fault.hpp
+++ b/tools/gateway_soak/src/soak_fault.hpp
@@ -36,10 +36,11 @@
     reset_endpoint_link,
     one_way_endpoint_link,
     held_orders,
-    hold_peer_link
+    hold_peer_link,
+    evacuate_data_centre
 };
 
-constexpr std::size_t fault_kinds = 24;
+constexpr std::size_t fault_kinds = 25;
 
 /// Which kinds of faults a run draws from.
 enum class fault_set
@@ -48,6 +49,7 @@
     handovers,
     links,
     abandoned_jobs,
+    evacuations,
     /// The kinds before `refuse_endpoint_link`: some regression seeds were
     /// recorded with them.
     first
@@ -71,6 +73,8 @@
 /// drains. In `links`, links to endpoints that work on fail while endpoints
 /// restart under their ids and orders are held up. In `abandoned_jobs`, jobs
 /// reach their dispatchers or entries after those who sent them have given up.
+/// In `evacuations`, data centres are evacuated while entries and the store
+/// fail; the other sets do without, as their seeds were recorded before.
 std::vector<fault_kind> faults_of(fault_set set);
 
 /// Draws the faults of a run at random from these kinds, ordered by time.
--- a/tools/gateway_soak/src/soak_run.cpp
+++ b/tools/gateway_soak/src/soak_run.cpp
@@ -10,6 +10,7 @@
 #include <array>
 #include <csignal>
 #include <deque>
+#include <map>
 #include <sstream>
 #include <thread>
 
@@ -333,6 +334,11 @@
     void apply_to_platform(planned_fault const& fault, bool is_active)
     {
         auto const endpoint = endpoint_name(fault.target % options_.endpoints);
+        if (fault.kind == fault_kind::evacuate_data_centre)
+        {
+            evacuate(data_centre(fault.target), is_active);
+            return;
+        }
         change_platform(
             [&](test_support::gateway_standin& platform)
             {
@@ -340,6 +346,21 @@
             });
     }
 
+    /// Evacuations of one data centre may overlap: the last one's end counts.
+    void evacuate(std::string const& data_centre, bool is_active)
+    {
+        auto& open = evacuations_[data_centre];
+        open += is_active ? 1 : -1;
+        change_platform(
+            [&](test_support::gateway_standin& platform)
+            {
+                if (is_active && open == 1)
+                    platform.evacuate(data_centre);
+                else if (open == 0)
+                    platform.end_evacuation(data_centre);
+            });
+    }
+
     void apply_platform_fault(test_support::gateway_standin& platform,
                               fault_kind kind, std::string const& endpoint,
                               bool is_active)
@@ -486,6 +507,9 @@
             for (auto const& start : observed.late_starts)
                 findings_.push_back("started on a draining endpoint: " + start);
         }
+        for (auto const& start : observed.evacuated_starts)
+            findings_.push_back("started in an evacuated data centre: " +
+                                start);
         for (auto const& answer : callers.unexpected)
             findings_.push_back("unexpected answer: " + answer);
         for (auto const& id : callers.refused)
@@ -500,7 +524,7 @@
                 << callers.refused.size() << " refused, " << callers.unknown
                 << " answers with 502, " << callers.broken
                 << " submissions without a response, " << observed.starts
-                << " starts";
+                << " starts, " << observed.evacuations << " evacuations";
         soak_result result{findings_, summary.str(), {}};
         if (!findings_.empty() || options_.keep)
         {
@@ -524,6 +548,8 @@
     std::vector<active_fault> active_faults_;
     std::vector<std::string> findings_;
     std::ostringstream fault_log_;
+    /// By data centre: evacuations that have not ended.
+    std::map<std::string, int> evacuations_;
     std::uint64_t jobs_ = 0;
     std::int64_t configuration_version_ = 1;
 };
