After a pause the evacuated data centres are read at once, beside the watch call

Change: confirm_evacuations reads the list in a loop of its own while starts wait for it. An entry whose own list may not be relied on gives version 0 to peers. co_await as the right operand of && crashes with g++ 12; it is written as two statements.

--- a/libs/dispatch/include/dispatch/evacuation_reads.hpp
+++ b/libs/dispatch/include/dispatch/evacuation_reads.hpp
@@ -27,8 +27,7 @@
     /// Whether the list may be relied on.
     bool is_usable(time_point now) const;
 
-    /// Whether the list was not read since the start or the last pause, so that
-    /// a read must not wait for changes.
+    /// Whether the list was not read since the start or the last pause.
     bool is_needed() const;
 
     /// Whether reads have succeeded for so long no more that the list of a peer
--- a/libs/gateway/src/configuration_watch.cpp
+++ b/libs/gateway/src/configuration_watch.cpp
@@ -26,6 +26,9 @@
 /// Pause after a failed call, which limits the calls during an outage.
 constexpr milliseconds retry_pause{250};
 
+/// How often to check whether the evacuated data centres have to be read.
+constexpr milliseconds confirm_interval{50};
+
 /// No more malformed keys than this are logged.
 constexpr std::size_t most_malformed = 100;
 
@@ -149,11 +152,8 @@
         }
         bool history_gone = false;
         auto const begun = steady_clock::now();
-        // A list from before a pause is confirmed without a wait for changes.
-        bool const may_wait =
-            store_.reachable() && !state_.evacuation_reads.is_needed();
-        auto const wait = may_wait ? watch_wait : milliseconds(0);
-        auto const timeout = may_wait ? watch_timeout : read_timeout;
+        auto const wait = store_.reachable() ? watch_wait : milliseconds(0);
+        auto const timeout = store_.reachable() ? watch_timeout : read_timeout;
         auto request = platform::encode_watch(platform::configuration_table,
                                               seen_version_, wait);
         auto const rows =
@@ -176,6 +176,20 @@
     }
 }
 
+asio::awaitable<void> configuration_watch::confirm_evacuations()
+{
+    for (;;)
+    {
+        co_await pause(confirm_interval);
+        state_.evacuation_reads.observe(steady_clock::now());
+        if (!state_.evacuation_reads.is_needed())
+            continue;
+        bool const read = co_await read_all();
+        if (!read)
+            co_await pause(retry_pause);
+    }
+}
+
 asio::awaitable<void> configuration_watch::fetch_evacuations()
 {
     auto const begun = steady_clock::now();
--- a/libs/gateway/src/configuration_watch.hpp
+++ b/libs/gateway/src/configuration_watch.hpp
@@ -22,6 +22,11 @@
     /// Applies each version that the store holds.
     asio::awaitable<void> follow_store();
 
+    /// Reads the evacuated data centres at once while starts wait for that. A
+    /// call of `follow_store` may have been made before a pause of the process,
+    /// and get no response for seconds.
+    asio::awaitable<void> confirm_evacuations();
+
     /// Fetches newer versions from the peers whose heartbeats report them;
     /// evacuations only while reads of the store fail.
     asio::awaitable<void> follow_peers();
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -227,6 +227,11 @@
                      {
                          return configuration_.follow_store();
                      });
+        platform.add("evacuations",
+                     [this]
+                     {
+                         return configuration_.confirm_evacuations();
+                     });
         platform.add("endpoints",
                      [this]
                      {
--- a/libs/gateway/src/peer_exchange.cpp
+++ b/libs/gateway/src/peer_exchange.cpp
@@ -235,8 +235,12 @@
     case evacuations_call:
     {
         wire::fetch_evacuations_reply reply;
-        reply.version = state_.evacuations.version();
-        reply.data_centres = state_.evacuations.data_centres();
+        // A list from before a pause must not confirm that of another entry.
+        if (state_.evacuation_reads.is_usable(now))
+        {
+            reply.version = state_.evacuations.version();
+            reply.data_centres = state_.evacuations.data_centres();
+        }
         co_return peer_link::make_message(std::move(reply));
     }
     default:
--- a/libs/gateway/tests/evacuation_test.cpp
+++ b/libs/gateway/tests/evacuation_test.cpp
@@ -205,3 +205,19 @@
     fixture.run(milliseconds(1'500));
     CHECK(starts_in(fixture, "north") == before);
 }
+
+// The watch call of before the pause had no response for 3.6 s, and starts
+// waited for its end.
+TEST_CASE("starts wait for less than two seconds after a pause while the store "
+          "does not respond")
+{
+    deployment fixture;
+    fixture.add_endpoints("north", 2);
+    fixture.add_gateway("north", 0.25);
+    REQUIRE(fixture.run_until_ready(0));
+    fixture.platform().faults().store_silent = true;
+    fixture.run(milliseconds(1'500));
+    std::this_thread::sleep_for(milliseconds(1'100));
+    fixture.run(milliseconds(2'000));
+    CHECK(answered_status(fixture, 0, 1) == 200);
+}
