--- a/libs/dispatch/src/cell_choice.cpp
+++ b/libs/dispatch/src/cell_choice.cpp
@@ -302,7 +302,9 @@
     {
         return shares.share_of(each);
     };
-    if (!local.empty() && fraction_of(job.id, "") * fair_share < share)
+    if (local.empty())
+        return spread(cells, job, share_of);
+    if (fraction_of(job.id, "") * fair_share < share)
         return spread(local, job, share_of);
     auto const surplus_of = [&](cell_view const& each)
     {
@@ -363,12 +365,12 @@
         if (each.has_room)
             free.push_back(&each);
     }
-    if (tried.busy.empty())
-    {
-        if (auto const* const local = choose_local(open, job))
-            return local;
-    }
-    return choose_free(free, job);
+    auto const* const local =
+        tried.busy.empty() ? choose_local(open, job) : nullptr;
+    // A refusal there would be followed by a wait, most often in the same cell.
+    if (local != nullptr && free.empty() && local->current)
+        return nullptr;
+    return local != nullptr ? local : choose_free(free, job);
 }
 
 chosen_cell make_choice(cell_view const& view, bool only_if_idle)
@@ -396,7 +398,7 @@
     }
     auto const slack =
         chain * (std::max(job.slack_factor - 1, 0.0) * longest_declared_factor);
-    return std::chrono::ceil<milliseconds>(slack) + job.target_latency -
+    return std::chrono::round<milliseconds>(slack) + job.target_latency -
            job.age;
 }
 
--- a/libs/dispatch/tests/cell_choice_model.hpp
+++ b/libs/dispatch/tests/cell_choice_model.hpp
@@ -29,6 +29,10 @@
     milliseconds waited{0};
     /// Jobs that waited for longer than 100 ms.
     std::size_t waited_long = 0;
+    /// Jobs refused by claims, and those of them that a cell could have started
+    /// at once.
+    std::size_t refused = 0;
+    std::size_t refused_with_room = 0;
     /// Sum over all claim intervals: jobs that waited or started in another
     /// data centre, and the most of these in one cell.
     std::size_t forwarded = 0;
@@ -225,6 +229,8 @@
             mean_need - spread_need, mean_need + spread_need)(random_);
         step.estimate = mean_length;
         job.steps.push_back(step);
+        job.slack_factor = 1.6;
+        job.target_latency = milliseconds(60);
         tried_cells tried;
         for (;;)
         {
@@ -234,6 +240,12 @@
                 known.push_back(each.published);
                 known.back().age = now_ % claim_interval;
             }
+            if (refuse_by_claims(known, job))
+            {
+                ++counts_.refused;
+                counts_.refused_with_room += any_has_room(step) ? 1U : 0U;
+                return;
+            }
             auto const choice =
                 choose_cell(known, centre_of(centre), job, tried);
             auto& at = *std::ranges::find(cells_, choice->cell, &cell::name);
@@ -263,6 +275,15 @@
         return at.waiting.empty() && places >= step.task_count;
     }
 
+    bool any_has_room(job_step const& step) const
+    {
+        return std::ranges::any_of(cells_,
+                                   [&](cell const& each)
+                                   {
+                                       return has_room(each, step);
+                                   });
+    }
+
     void accept(cell& at, job_step const& step)
     {
         std::uniform_int_distribution<std::int64_t> vary(
--- a/libs/dispatch/tests/cell_choice_test.cpp
+++ b/libs/dispatch/tests/cell_choice_test.cpp
@@ -95,3 +95,117 @@
     CHECK(counts.local == counts.jobs);
     CHECK(counts.busy == 0);
 }
+
+TEST_CASE("a cell without a piece for the largest task is not tried")
+{
+    milliseconds const none{0};
+    std::vector<cell_dispatcher> cells{make_claim("a/0/1", 0, none),
+                                       make_claim("b/0/1", 90'000, none),
+                                       make_claim("c/0/1", 60'000, none)};
+    cells[1].claim.largest_free_processor = 6'000;
+    cells[2].claim.largest_free_processor = 7'000;
+    CHECK(choices(cells, {{"a/0/1"}, {}})["c/0/1"] == 1'000);
+    cells[1].contested = true;
+    CHECK(choices(cells, {{"a/0/1"}, {}})["b/0/1"] > 500);
+}
+
+TEST_CASE("jobs of each priority go by the waits of that priority")
+{
+    std::vector<cell_dispatcher> cells{
+        make_claim("a/0/1", 0, milliseconds(300)),
+        make_claim("b/0/1", 0, milliseconds(300))};
+    cells[0].claim.waits = {milliseconds(0), milliseconds(400)};
+    cells[1].claim.waits = {milliseconds(400), milliseconds(0)};
+    auto job = make_spec("job", 2);
+    CHECK(choose_cell(cells, "a", job, {})->cell == "a/0/1");
+    job.priority = 1;
+    CHECK(choose_cell(cells, "a", job, {})->cell == "b/0/1");
+    job.priority = 7;
+    auto const last = choose_cell(cells, "a", job, {});
+    CHECK(last->cell == "b/0/1");
+    CHECK(last->kind == choice_kind::remote_wait);
+    cells[0].age = milliseconds(300);
+    CHECK(choose_cell(cells, "a", job, {})->kind == choice_kind::local_start);
+}
+
+TEST_CASE("jobs of a data centre whose cell has no dispatcher spread over the "
+          "other cells")
+{
+    auto counts = choices({make_claim("b/0/1", 0, milliseconds(50)),
+                           make_claim("c/0/1", 0, milliseconds(50))},
+                          {});
+    CHECK(counts["b/0/1"] > 430);
+    CHECK(counts["c/0/1"] > 430);
+}
+
+TEST_CASE("a dispatcher that has read no endpoints gets jobs only if no other "
+          "does")
+{
+    std::vector<cell_dispatcher> cells{
+        make_claim("a/0/1", 0, milliseconds(0)),
+        make_claim("b/0/1", 0, milliseconds(90))};
+    cells[0].claim.endpoints = 0;
+    CHECK(choices(cells, {{"a/0/1", "b/0/1"}, {}})["b/0/1"] == 1'000);
+    cells[1].claim.endpoints = 0;
+    CHECK(choices(cells, {{"a/0/1", "b/0/1"}, {}})["a/0/1"] == 1'000);
+}
+
+TEST_CASE("a job is refused by claims only if all of them show that it would "
+          "be late")
+{
+    std::vector<cell_dispatcher> cells{make_claim("a/0/1", 0, milliseconds(0)),
+                                       make_claim("b/0/1", 0, milliseconds(0))};
+    cells[0].claim.waits = {milliseconds(700), milliseconds(0)};
+    cells[1].claim.waits = {milliseconds(500)};
+    cells[1].age = milliseconds(100);
+    auto job = make_spec("job", 2);
+    // It may wait for 60 ms and for 0.6 of a run time of at most 90 ms.
+    auto const refusal = refuse_by_claims(cells, job);
+    REQUIRE(refusal);
+    CHECK(refusal->end == job_end::refused);
+    CHECK(refusal->retry_after == milliseconds(400 - 114));
+    auto const with_change = [&](auto const& change)
+    {
+        auto changed = cells;
+        change(changed[1]);
+        return refuse_by_claims(changed, job).has_value();
+    };
+    CHECK_FALSE(with_change(
+        [](cell_dispatcher& each)
+        {
+            each.age = milliseconds(300);
+        }));
+    CHECK_FALSE(with_change(
+        [](cell_dispatcher& each)
+        {
+            each.contested = true;
+        }));
+    CHECK_FALSE(with_change(
+        [](cell_dispatcher& each)
+        {
+            each.claim.waits.clear();
+        }));
+    CHECK_FALSE(with_change(
+        [](cell_dispatcher& each)
+        {
+            each.claim.free_processor = 13'600;
+        }));
+    CHECK_FALSE(with_change(
+        [](cell_dispatcher& each)
+        {
+            each.claim.endpoints = 0;
+        }));
+    job.priority = 1;
+    CHECK_FALSE(refuse_by_claims(cells, job));
+    CHECK_FALSE(refuse_by_claims({}, job));
+}
+
+TEST_CASE("no job is refused by claims while a cell could start it")
+{
+    cell_choice_model model({.load = 1.0, .has_waits = true}, 7);
+    model.run_for(milliseconds(11'000));
+    auto const& counts = model.counts();
+    CAPTURE(counts.jobs);
+    REQUIRE(counts.refused > 1'000);
+    CHECK(counts.refused_with_room == 0);
+}
--- a/libs/gateway/src/gateway_metrics.hpp
+++ b/libs/gateway/src/gateway_metrics.hpp
@@ -1,9 +1,10 @@
 #ifndef MASTICSHIFT_GATEWAY_GATEWAY_METRICS_HPP
 #define MASTICSHIFT_GATEWAY_GATEWAY_METRICS_HPP
 
-#include <dispatch/job.hpp>
+#include <dispatch/cell_choice.hpp>
 #include <metrics/registry.hpp>
 
+#include <algorithm>
 #include <string>
 
 namespace masticshift::gateway
@@ -33,6 +34,22 @@
                                     "Jobs that callers have cancelled",
                                     {{"outcome", outcome}});
     }
+    /// Priorities from `last_priority_label` on share a label.
+    metrics::counter& cell_choices(dispatch::choice_kind kind, int priority)
+    {
+        return registry.get_counter("masticshift_cell_choices_total",
+                                    "Cells chosen for jobs, by kind and "
+                                    "priority",
+                                    {{"kind", dispatch::name_of(kind)},
+                                     {"priority", priority_label(priority)}});
+    }
+    metrics::counter& refusals_by_claims(int priority)
+    {
+        return registry.get_counter(
+            "masticshift_refusals_by_claims_total",
+            "Jobs refused because no cell could serve them in time",
+            {{"priority", priority_label(priority)}});
+    }
     metrics::counter& callers_gone = registry.get_counter(
         "masticshift_callers_gone_total",
         "Callers that closed their connection before the answer");
@@ -64,6 +81,14 @@
         "masticshift_waiting_tasks", "Tasks that wait for room");
     metrics::gauge& runs = registry.get_gauge(
         "masticshift_runs", "Runs that this entry keeps the lease of");
+
+private:
+    static constexpr int last_priority_label = 7;
+
+    static std::string priority_label(int priority)
+    {
+        return std::to_string(std::clamp(priority, 0, last_priority_label));
+    }
 };
 
 } // namespace masticshift::gateway
--- a/libs/gateway/src/job_service.cpp
+++ b/libs/gateway/src/job_service.cpp
@@ -48,6 +48,8 @@
     std::string dispatcher;
     std::string cell;
     dispatch::tried_cells tried;
+    /// The last choice, if any cell was chosen.
+    std::optional<dispatch::chosen_cell> choice;
     /// Refusals because the reading of the dispatcher's clock was too old.
     int outdated = 0;
     std::weak_ptr<transport::disconnect_notifier> caller;
@@ -160,36 +162,58 @@
     auto const taken = steady_clock::now() - job->accepted;
     state_.metrics.jobs(result.end).add();
     state_.metrics.job_seconds.observe(taken);
-    log_event(log_level::info, "job_answered",
-              {{"job", job->job.id},
-               {"queue", job->job.queue},
-               {"version", state_.configuration_version},
-               {"dispatcher", job->dispatcher},
-               {"cell", job->cell},
-               {"busy_cells", job->tried.busy.size()},
-               {"overloaded_cells", job->tried.overloaded.size()},
-               {"end", dispatch::name_of(result.end)},
-               {"reason", dispatch::name_of(result.reason)},
-               {"caller_gone", job->caller_gone},
-               {"ms", to_milliseconds(taken)}});
+    log_event(
+        log_level::info, "job_answered",
+        {{"job", job->job.id},
+         {"queue", job->job.queue},
+         {"priority", job->job.priority},
+         {"version", state_.configuration_version},
+         {"dispatcher", job->dispatcher},
+         {"cell", job->cell},
+         {"choice", job->choice ? name_of(job->choice->kind) : ""},
+         {"claimed_wait_ms", job->choice ? job->choice->wait.count() : 0},
+         {"claim_age_ms", job->choice ? job->choice->claim_age.count() : -1},
+         {"busy_cells", job->tried.busy.size()},
+         {"overloaded_cells", job->tried.overloaded.size()},
+         {"end", dispatch::name_of(result.end)},
+         {"reason", dispatch::name_of(result.reason)},
+         {"caller_gone", job->caller_gone},
+         {"ms", to_milliseconds(taken)}});
     co_return platform::encode_job_end(result);
 }
 
-bool job_service::choose_cell(submission& job)
+bool job_service::choose_cell(submission& job, cell_dispatchers const& cells)
 {
-    auto const now = steady_clock::now();
-    auto const cells = state_.roster.dispatchers(now);
     auto const choice = dispatch::choose_cell(
         cells, state_.roster.self().data_centre, job.job, job.tried);
     if (!choice)
         return false;
-    job.dispatcher = choice->address;
-    job.cell = choice->cell;
-    job.job.only_if_idle = choice->only_if_idle;
-    job.job.age = std::chrono::duration_cast<milliseconds>(now - job.accepted);
+    job.choice = choice;
+    job.dispatcher = job.choice->address;
+    job.cell = job.choice->cell;
+    job.job.only_if_idle = job.choice->only_if_idle;
+    state_.metrics.cell_choices(job.choice->kind, job.job.priority).add();
     return true;
 }
 
+std::optional<dispatch::job_result>
+job_service::refuse_by_claims(submission const& job,
+                              cell_dispatchers const& cells)
+{
+    auto const refusal = dispatch::refuse_by_claims(cells, job.job);
+    if (!refusal)
+        return std::nullopt;
+    state_.metrics.refusals_by_claims(job.job.priority).add();
+    log_event(log_level::info, "job_refused_by_claims",
+              {{"job", job.job.id},
+               {"queue", job.job.queue},
+               {"priority", job.job.priority},
+               {"cells", cells.size()},
+               {"age_ms", job.job.age.count()},
+               {"retry_after_ms", refusal->retry_after.count()}});
+    return refusal;
+}
+
 asio::awaitable<transport::http_response> job_service::cancel(std::string id)
 {
     auto const outcome = co_await cancellations_.cancel(std::move(id));
@@ -208,7 +232,13 @@
         if (state_.cancelled.contains(job->job.id, steady_clock::now()))
             co_return dispatch::job_result{dispatch::job_end::refused,
                                            dispatch::end_reason::cancelled};
-        if (choose_cell(*job))
+        auto const now = steady_clock::now();
+        auto const cells = state_.roster.dispatchers(now);
+        job->job.age =
+            std::chrono::duration_cast<milliseconds>(now - job->accepted);
+        if (auto const refused = refuse_by_claims(*job, cells))
+            co_return *refused;
+        if (choose_cell(*job, cells))
         {
             auto const result = co_await call_dispatcher(job);
             if (result.end != dispatch::job_end::refused)
--- a/libs/gateway/src/job_service.hpp
+++ b/libs/gateway/src/job_service.hpp
@@ -9,6 +9,8 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
+#include <vector>
 
 namespace masticshift::gateway
 {
@@ -45,6 +47,7 @@
 private:
     struct submission;
     using submission_ptr = std::shared_ptr<submission>;
+    using cell_dispatchers = std::vector<dispatch::cell_dispatcher>;
 
     asio::awaitable<transport::http_response>
     submit(transport::http_request request,
@@ -53,7 +56,11 @@
     asio::awaitable<transport::http_response> cancel(std::string id);
     asio::awaitable<dispatch::job_result> dispatch(submission_ptr job);
     asio::awaitable<dispatch::job_result> call_dispatcher(submission_ptr job);
-    bool choose_cell(submission& job);
+    bool choose_cell(submission& job, cell_dispatchers const& cells);
+    /// The refusal of a job that no cell can serve in time, if the claims show
+    /// it.
+    std::optional<dispatch::job_result>
+    refuse_by_claims(submission const& job, cell_dispatchers const& cells);
     /// Whether the caller still waits for the answer.
     bool is_wanted(submission& job);
     void handle_caller_gone(submission_ptr const& job);
