--- a/libs/core/include/core/result_code.hpp
+++ b/libs/core/include/core/result_code.hpp
@@ -67,6 +67,7 @@
     config_duplicate = 407,
     revision_conflict = 408,
     revision_absent = 409,
+    config_contradiction = 410,
 
     // Faults of the program, its environment, its peers or the platform.
     internal = 500,
--- a/libs/core/src/result_code.cpp
+++ b/libs/core/src/result_code.cpp
@@ -100,6 +100,9 @@
                      "Another change won; read it, merge and apply again."},
     result_code_info{revision_absent, "revision_absent", 404,
                      "No configuration was applied yet; apply one."},
+    result_code_info{config_contradiction, "config_contradiction", 400,
+                     "Correct the keys that are named; with these values they "
+                     "can't work."},
     result_code_info{internal, "internal", 500,
                      "Report this with the log lines around it."},
     result_code_info{peer_unreachable, "peer_unreachable", 502,
--- a/tools/masticshift/src/commands.cpp
+++ b/tools/masticshift/src/commands.cpp
@@ -10,8 +10,9 @@
 {
 
 constexpr std::array table{
-    command{"check", "check FILE", "check a configuration file", 1, false,
-            false, run_check},
+    command{"check", "check FILE [--platform IP:PORT]",
+            "check a configuration file, and compare it with the one in force",
+            1, false, false, run_check},
     command{"apply", "apply FILE --platform IP:PORT [--expect N]",
             "apply a configuration file as the next revision", 1, true, false,
             run_apply},
--- a/tools/masticshift/tests/program_test.cpp
+++ b/tools/masticshift/tests/program_test.cpp
@@ -1,9 +1,12 @@
 #include <doctest/doctest.h>
 
 #include <sys/wait.h>
+#include <unistd.h>
 
 #include <array>
 #include <cstdio>
+#include <filesystem>
+#include <fstream>
 #include <string>
 
 namespace
@@ -56,6 +59,28 @@
     CHECK(contains(result.output, "Remove or correct the key"));
 }
 
+TEST_CASE("a valid configuration that can't work is reported with an exit code")
+{
+    auto const file = std::filesystem::temp_directory_path() /
+                      ("contradiction-" + std::to_string(getpid()) + ".toml");
+    auto const path = file.string();
+    std::ofstream(path) << "[data_centre.a]\nregion = \"r\"\n"
+                           "[endpoint.a1]\naddress = \"127.0.0.1:9101\"\n"
+                           "data_centre = \"a\"\n"
+                           "[service.stock]\nendpoints = [\"a1\"]\n"
+                           "timeout_ms = 10\n";
+    auto const result = run("check " + path);
+    CHECK(result.exit_code == 4);
+    CHECK(contains(result.output, "error: service.stock.timeout_ms"));
+    CHECK(contains(result.output, "config_contradiction (410)"));
+    auto const json = run("check --json " + path);
+    CHECK(json.exit_code == 4);
+    CHECK(contains(json.output, "\"place\":\"service.stock.timeout_ms\""));
+    CHECK(run("check --platform 127.0.0.1:1 " + samples + "orderdesk.toml")
+              .exit_code == 2);
+    std::filesystem::remove(file);
+}
+
 TEST_CASE("invalid command lines are refused with the usage code")
 {
     for (auto const* arguments :
