--- a/libs/config/src/difference.cpp
+++ b/libs/config/src/difference.cpp
@@ -45,6 +45,11 @@
             {"queue_limit", std::to_string(from.queue_limit)}};
 }
 
+std::string place_of(std::string const& table, std::string const& key)
+{
+    return table + "." + key;
+}
+
 template <class Item>
 void compare_items(std::string const& place, Item const& from, Item const& to,
                    std::vector<difference>& found)
@@ -54,7 +59,7 @@
     for (std::size_t i = 0; i < former.size(); ++i)
     {
         if (former[i].second != current[i].second)
-            found.push_back({place + "." + former[i].first, former[i].second,
+            found.push_back({place_of(place, former[i].first), former[i].second,
                              current[i].second});
     }
 }
@@ -65,7 +70,7 @@
 {
     for (auto const& [name, item] : from)
     {
-        auto const place = kind + "." + name;
+        auto const place = place_of(kind, name);
         auto const other = to.find(name);
         if (other == to.end())
             found.push_back({place, "defined", ""});
@@ -75,7 +80,7 @@
     for (auto const& [name, item] : to)
     {
         if (!from.contains(name))
-            found.push_back({kind + "." + name, "", "defined"});
+            found.push_back({place_of(kind, name), "", "defined"});
     }
 }
 
--- a/libs/config/src/review.cpp
+++ b/libs/config/src/review.cpp
@@ -11,6 +11,11 @@
 
 using names = std::set<std::string, std::less<>>;
 
+std::string never_used(std::string const& endpoint, std::string const& lack)
+{
+    return "'" + endpoint + "' is never used: it " + lack;
+}
+
 std::string key_of(std::string const& kind, std::string const& name,
                    std::string const& key)
 {
@@ -53,8 +58,8 @@
         if (lack.empty())
             ++suitable;
         else
-            unsuitable.push_back({finding_level::warning, place,
-                                  "'" + name + "' is never used: it " + lack});
+            unsuitable.push_back(
+                {finding_level::warning, place, never_used(name, lack)});
     }
     if (suitable == 0)
         found.push_back(
--- a/tools/masticshift/src/check.cpp
+++ b/tools/masticshift/src/check.cpp
@@ -1,9 +1,11 @@
-#include "checked_text.hpp"
 #include "commands.hpp"
+#include "input_text.hpp"
 #include "platform_access.hpp"
 
 #include <config/difference.hpp>
 #include <config/review.hpp>
+#include <dispatch/configuration_review.hpp>
+#include <platform/configuration_codec.hpp>
 
 #include <boost/json/array.hpp>
 
@@ -85,12 +87,46 @@
     co_return outcome<void>{};
 }
 
+/// Whether this is a configuration of the users' platform, which is a JSON
+/// object.
+bool is_of_users_platform(std::string_view text)
+{
+    auto const first = text.find_first_not_of(" \t\r\n");
+    return first != std::string_view::npos && text[first] == '{';
+}
+
+report check_of_users_platform(std::string const& path, std::string_view text,
+                               options const& command_line)
+{
+    if (command_line.platform)
+        return report_of({result_code::usage,
+                          "--platform compares TOML configurations only"});
+    auto const settings = platform::decode_configuration(text);
+    if (!settings)
+        return report_of({result_code::config_syntax,
+                          path + ": " + settings.error().detail});
+    report result;
+    result.text = path + ": version " + std::to_string(settings->version) +
+                  ", " + std::to_string(settings->queues.size()) + " queues, " +
+                  std::to_string(settings->services.size()) + " services\n";
+    result.fields["version"] = settings->version;
+    result.fields["queues"] = settings->queues.size();
+    result.fields["services"] = settings->services.size();
+    add_findings(dispatch::review(*settings), result);
+    return result;
+}
+
 } // namespace
 
 pending_report run_check(session& calls, options const& command_line)
 {
     auto const& path = command_line.arguments[1];
-    auto const text = load_checked_text(path);
+    auto const read = read_input(path);
+    if (!read)
+        co_return report_of(read.error());
+    if (is_of_users_platform(*read))
+        co_return check_of_users_platform(path, *read, command_line);
+    auto const text = config::load_operator_configuration(*read, path);
     if (!text)
         co_return report_of(text.error());
     report result;
--- a/tools/masticshift/tests/program_test.cpp
+++ b/tools/masticshift/tests/program_test.cpp
@@ -81,6 +81,22 @@
     std::filesystem::remove(file);
 }
 
+TEST_CASE("a configuration of the users' platform is checked too")
+{
+    auto const file = std::filesystem::temp_directory_path() /
+                      ("queues-" + std::to_string(getpid()) + ".json");
+    std::ofstream(file)
+        << R"({"version": 3, "routes": [{"name": "quotes", "host": "h",
+              "path_prefix": "quotes/", "slack_factor": 2}]})";
+    auto const result = run("check " + file.string());
+    CHECK(result.exit_code == 4);
+    CHECK(contains(result.output, "version 3, 1 queues"));
+    CHECK(contains(result.output, "error: queue.quotes.path_prefix"));
+    std::ofstream(file) << R"({"version": 3})";
+    CHECK(contains(run("check " + file.string()).output, "config_syntax"));
+    std::filesystem::remove(file);
+}
+
 TEST_CASE("invalid command lines are refused with the usage code")
 {
     for (auto const* arguments :
