A job refused at home is first offered to its data centre's other cells

Cause: after the first refusal, cells of all data centres with room were equal, so that a job left a data centre whose second cell had room.

Change: while a cell of the own data centre reports room, only such cells are asked.

--- a/libs/dispatch/src/cell_choice.cpp
+++ b/libs/dispatch/src/cell_choice.cpp
@@ -360,17 +360,28 @@
         tried.busy.size() >= max_idle_tries)
         return nullptr;
     std::vector<cell_view const*> free;
+    bool any_local = false;
     for (auto const& each : open)
     {
-        if (each.has_room)
-            free.push_back(&each);
+        if (!each.has_room)
+            continue;
+        free.push_back(&each);
+        any_local = any_local || each.local;
     }
     auto const* const local =
         tried.busy.empty() ? choose_local(open, job) : nullptr;
     // A refusal there would be followed by a wait, most often in the same cell.
     if (local != nullptr && free.empty() && local->current)
         return nullptr;
-    return local != nullptr ? local : choose_free(free, job);
+    if (local != nullptr)
+        return local;
+    if (any_local)
+        std::erase_if(free,
+                      [](cell_view const* each)
+                      {
+                          return !each->local;
+                      });
+    return choose_free(free, job);
 }
 
 chosen_cell make_choice(cell_view const& view, bool only_if_idle)
--- a/libs/dispatch/tests/cell_choice_test.cpp
+++ b/libs/dispatch/tests/cell_choice_test.cpp
@@ -50,6 +50,16 @@
     CHECK(counts.at("b/0/1") < 660);
 }
 
+TEST_CASE("after a refusal, another cell of the own data centre comes first")
+{
+    milliseconds const none{0};
+    auto counts = choices({make_claim("a/0/2", 90'000, none),
+                           make_claim("a/1/2", 20'000, none),
+                           make_claim("b/0/1", 90'000, none)},
+                          {{"a/0/2"}, {}});
+    CHECK(counts["a/1/2"] == 1'000);
+}
+
 TEST_CASE("as many jobs wait elsewhere as make the waits equal")
 {
     tried_cells const tried{{"a/0/1", "b/0/1"}, {}};
