Fewer new connections to endpoints that do not respond

Cause: each failed list made an attempt to connect after 10 to 100 ms, in every outage again: ten attempts to each endpoint in 700 ms. Orders made further ones: a start up to five, each stop one every 100 ms. A response that came after its deadline cost its connection. Entries of other data centres probed all endpoints of a cell in turn, over a connection each.

Change: `connection_use` of http_client. Orders wait 8 ms for a connection in use; while the newest connection has carried no response they make one in 100 ms, and one in a second while connections are refused; a connection stays open for a late response, and is used again for the process it leads to. Probes use three endpoints in turn. New metrics count connections by cause, and failed attempts.

Ruled out: sending the next request over a connection whose response is missing (the responses could be confused); longer pauses in a first outage (a restart would be noticed later); closing none of the connections that two lost calls in a row make suspect (on a link that lost them silently, each would cost a timeout).

--- a/libs/gateway/src/cell_manager.cpp
+++ b/libs/gateway/src/cell_manager.cpp
@@ -26,6 +26,9 @@
 /// A reachable endpoint responds within a millisecond.
 constexpr milliseconds probe_timeout{200};
 
+/// Endpoints of a cell that are probed in turn while all of them respond.
+constexpr std::size_t most_probed = 3;
+
 } // namespace
 
 asio::awaitable<void> cell_manager::run()
@@ -146,7 +149,9 @@
     }
     if (all.empty())
         return std::nullopt;
-    return all[++probe_turn_ % all.size()];
+    // Each endpoint more costs a connection.
+    auto const turn = probe_turn_++ % most_probed;
+    return all[(first_probed_ + turn) % all.size()];
 }
 
 asio::awaitable<void> cell_manager::probe(cell_manager& self,
@@ -164,6 +169,8 @@
             endpoint->ip, endpoint->port, std::move(request),
             steady_clock::now() + probe_timeout);
         answered = result.has_value();
+        if (!answered)
+            ++self.first_probed_;
     }
     self.state_.roster.record_probe(cell.name, answered, steady_clock::now());
     co_await pause(probe_timeout);
--- a/libs/gateway/src/cell_manager.hpp
+++ b/libs/gateway/src/cell_manager.hpp
@@ -101,6 +101,9 @@
     /// Cells that are being probed.
     std::set<std::string> probing_;
     std::size_t probe_turn_ = 0;
+    /// Number of the first endpoint that is probed; the next one after each
+    /// probe without a response.
+    std::size_t first_probed_ = 0;
     time_point ended_peers_taken_{};
     time_point records_requested_{};
     std::function<void()> on_records_needed_;
--- a/libs/gateway/src/endpoint_io.cpp
+++ b/libs/gateway/src/endpoint_io.cpp
@@ -1,6 +1,7 @@
 #include "cell_runner.hpp"
 
 #include <core/log.hpp>
+#include <dispatch/outage_backoff.hpp>
 #include <platform/run_codec.hpp>
 
 #include <algorithm>
@@ -15,18 +16,36 @@
 /// it early when the endpoint has to be polled.
 constexpr milliseconds idle_pause{2'000};
 
-/// Wait after a failed list call. It doubles with each further one in a row.
-constexpr milliseconds first_retry_pause{10};
-constexpr milliseconds longest_retry_pause{100};
-
 /// How often a start looks for a connection to the process that it assumes.
 constexpr unsigned max_identifications = 4;
 
-milliseconds retry_pause_after(unsigned failures)
+/// An endpoint responds within two milliseconds: a call that waits this long
+/// for a connection in use is likely to get one.
+constexpr milliseconds connection_wait{8};
+
+/// While an endpoint does not respond, its new connections are those of the
+/// lists of `watch_endpoint`, and one in this time of other calls.
+constexpr milliseconds unproven_wait{100};
+
+/// The same while connections are refused. A lease has ended by then.
+constexpr milliseconds refused_wait{1'000};
+
+/// How long a connection without a response in time is kept open. An order may
+/// be carried out seconds later.
+constexpr milliseconds late_response{4'000};
+
+/// For orders and identifications.
+constexpr transport::connection_use shared_connections{
+    connection_wait, unproven_wait, refused_wait, late_response, false};
+
+/// For the lists of `watch_endpoint`, which notice that an endpoint responds
+/// again.
+transport::connection_use connections_for(dispatch::list_order const& order)
 {
-    constexpr unsigned most_doublings = 4;
-    auto const doublings = std::min(failures - 1, most_doublings);
-    return std::min(first_retry_pause * (1 << doublings), longest_retry_pause);
+    transport::connection_use use;
+    use.late_response = late_response;
+    use.holds = order.wait > milliseconds(0);
+    return use;
 }
 
 /// Whether a start goes on after this response to the list that was to identify
@@ -53,7 +72,7 @@
 asio::awaitable<void> cell_runner::watch_endpoint(self_ptr self,
                                                   std::string endpoint)
 {
-    unsigned failures = 0;
+    dispatch::outage_backoff backoff;
     auto const watched = self->watch_timers_.find(endpoint);
     if (watched == self->watch_timers_.end())
         co_return;
@@ -72,10 +91,10 @@
         {
             if (co_await self->read_list(endpoint, *order))
             {
-                failures = 0;
+                backoff.answered(steady_clock::now());
                 continue;
             }
-            wait = retry_pause_after(++failures);
+            wait = backoff.failed(steady_clock::now());
         }
         wake->expires_after(wait);
         co_await wake->async_wait(as_values);
@@ -94,13 +113,22 @@
             {result_code::cancelled, "endpoint was removed; order not sent"}};
     auto const ip = record->second.ip;
     auto const port = record->second.port;
-    auto const sent = steady_clock::now();
+    auto const begun = steady_clock::now();
     auto const lost = unanswered_.find(endpoint);
     auto const timeout = response_timeout_.after(
         lost == unanswered_.end() ? 0 : lost->second.count);
-    auto result = co_await endpoints_.call(
-        ip, port, std::move(request), sent + wait + timeout, std::move(checks));
-    if (!result && result.error().stage == transport::call_stage::unidentified)
+    auto const deadline = begun + checks.connections.wait + wait + timeout;
+    // The wait for a connection is no part of the response time.
+    auto sent = begun;
+    checks.may_send = [&sent](time_point now)
+    {
+        sent = now;
+        return true;
+    };
+    auto result = co_await endpoints_.call(ip, port, std::move(request),
+                                           deadline, std::move(checks));
+    // Not tried, which shows nothing of the endpoint.
+    if (!result && result.error().error.code == result_code::cancelled)
         co_return result;
     if (result)
     {
@@ -114,7 +142,7 @@
     // One lost response does not show that the other pooled connections are
     // broken; two in a row do.
     auto& calls =
-        unanswered_.try_emplace(endpoint, lost_calls{0, sent}).first->second;
+        unanswered_.try_emplace(endpoint, lost_calls{0, begun}).first->second;
     if (++calls.count > 1)
         endpoints_.close_pooled(ip, port, calls.since);
     co_return result;
@@ -133,13 +161,14 @@
 asio::awaitable<cell_runner::list_call>
 cell_runner::call_list(std::string endpoint, dispatch::list_order order)
 {
-    list_call made;
+    auto const made = std::make_shared<list_call>();
     transport::call_checks checks;
     checks.required_server = order.process_started_ms;
-    checks.identify_server = [&](transport::http_response const& response)
+    checks.connections = connections_for(order);
+    checks.identify_server = [made](transport::http_response const& response)
     {
-        made = read_response(response);
-        return made.process();
+        *made = read_response(response);
+        return made->process();
     };
     state_.metrics.lists.add();
     auto const result =
@@ -147,11 +176,11 @@
                                order.wait, std::move(checks));
     if (!result)
     {
-        made.response = response_of(result.error());
-        made.unidentified =
+        made->response = response_of(result.error());
+        made->unidentified =
             result.error().stage == transport::call_stage::unidentified;
     }
-    co_return made;
+    co_return std::move(*made);
 }
 
 asio::awaitable<bool> cell_runner::read_list(std::string endpoint,
@@ -209,12 +238,13 @@
     dispatch::list_order list;
     list.token = order.token;
     // Its runs are left to `watch_endpoint`, whose lists are in order.
-    list_call made;
+    auto const made = std::make_shared<list_call>();
     transport::call_checks checks;
-    checks.identify_server = [&](transport::http_response const& response)
+    checks.connections = shared_connections;
+    checks.identify_server = [made](transport::http_response const& response)
     {
-        made = read_response(response);
-        return made.process();
+        *made = read_response(response);
+        return made->process();
     };
     state_.metrics.identifications.add();
     // Nothing depends on one such call: a lost one is repeated soon, and says
@@ -226,13 +256,13 @@
         std::move(checks));
     if (!result)
         co_return response_of(result.error());
-    if (made.process() == order.process_started_ms)
+    if (made->process() == order.process_started_ms)
         co_return dispatch::order_response::accepted;
-    if (made.process() != 0)
+    if (made->process() != 0)
         co_return dispatch::order_response::other_instance;
-    co_return made.response == dispatch::order_response::accepted
+    co_return made->response == dispatch::order_response::accepted
         ? dispatch::order_response::unanswered
-        : made.response;
+        : made->response;
 }
 
 asio::awaitable<platform::endpoint_response>
@@ -243,6 +273,7 @@
     {
         transport::call_checks checks;
         checks.required_server = order.process_started_ms;
+        checks.connections = shared_connections;
         auto const result = co_await call_endpoint(
             order.endpoint, platform::encode_start(order, order.endpoint),
             milliseconds(0), std::move(checks));
@@ -300,7 +331,8 @@
                                              dispatch::stop_order order)
 {
     // The next process of the endpoint may get it: nothing of the run is there.
-    transport::call_checks const any_process;
+    transport::call_checks any_process;
+    any_process.connections = shared_connections;
     auto const result = co_await self->call_endpoint(
         order.endpoint, platform::encode_stop(order, order.endpoint),
         milliseconds(0), any_process);
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -164,6 +164,16 @@
               error_response),
           loops_(executor_, "gateway")
     {
+        endpoint_client_.on_connect(
+            [this](transport::connection_cause cause, bool connected)
+            {
+                if (connected)
+                    state_.metrics
+                        .endpoint_connections(std::string(name_of(cause)))
+                        .add();
+                else
+                    state_.metrics.failed_connects.add();
+            });
         cell_manager_.on_records_needed(
             [this]
             {
--- a/libs/gateway/src/gateway_metrics.hpp
+++ b/libs/gateway/src/gateway_metrics.hpp
@@ -48,6 +48,16 @@
     metrics::counter& unanswered =
         registry.get_counter("masticshift_unanswered_orders_total",
                              "Calls to endpoints that got no answer");
+    /// `cause`: what became of the connection that it replaces.
+    metrics::counter& endpoint_connections(std::string const& cause)
+    {
+        return registry.get_counter("masticshift_endpoint_connections_total",
+                                    "New connections to endpoints",
+                                    {{"cause", cause}});
+    }
+    metrics::counter& failed_connects =
+        registry.get_counter("masticshift_endpoint_connect_failures_total",
+                             "Attempts to connect to an endpoint that failed");
     metrics::counter& store_calls = registry.get_counter(
         "masticshift_store_calls_total", "Calls to the platform's store");
     metrics::counter& store_failures =
--- a/libs/gateway/tests/deployment.hpp
+++ b/libs/gateway/tests/deployment.hpp
@@ -12,6 +12,7 @@
 #include <cstdio>
 #include <functional>
 #include <memory>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -157,6 +158,24 @@
             .body;
     }
 
+    /// Sum of a metric of a gateway over all values of its labels.
+    double metric(std::size_t number, std::string const& name)
+    {
+        transport::http_request request;
+        request.target = "/metrics";
+        std::istringstream lines(
+            call(entries_[number].settings.gateway.metrics_address, request)
+                .body);
+        double sum = 0;
+        for (std::string line; std::getline(lines, line);)
+        {
+            auto const end = line.find_first_of("{ ");
+            if (line.substr(0, end) == name)
+                sum += std::stod(line.substr(line.rfind(' ')));
+        }
+        return sum;
+    }
+
     std::shared_ptr<pending_answer> submit(std::size_t number, unsigned id,
                                            int tasks = 2,
                                            std::string const& path = "/q/",
--- a/libs/transport/include/transport/http_client.hpp
+++ b/libs/transport/include/transport/http_client.hpp
@@ -61,6 +61,50 @@
     unsigned max_connections = 0;
 };
 
+/// Why a new connection was needed, by what became of an earlier one.
+enum class connection_cause
+{
+    /// No connection to the address was open or had been lost.
+    first,
+    /// All open connections were in use.
+    parallel,
+    /// The response to a call did not arrive in time.
+    unanswered,
+    /// The server or the network had closed it.
+    closed,
+    /// It was closed by `http_client::close_pooled`.
+    suspected,
+    /// It was not used for too long.
+    idle,
+    /// The attempt before has failed.
+    not_connected
+};
+
+constexpr std::size_t connection_causes = 7;
+
+std::string_view name_of(connection_cause cause);
+
+/// How a call uses the connections to its address. By default a call makes a
+/// new connection whenever no pooled one can be used.
+struct connection_use
+{
+    /// How long the call waits for a connection that another call uses, before
+    /// a new one is made.
+    milliseconds wait{0};
+    /// While the newest connection has carried no response and no other has,
+    /// this call makes no further one for this long: it waits, and fails with
+    /// `cancelled` and `call_stage::not_connected`. 0: no limit.
+    milliseconds unproven{0};
+    /// The same after an attempt that was refused, in place of `unproven`.
+    milliseconds refused{0};
+    /// How long a connection without a response in time stays open for it. If
+    /// the response arrives, it is only passed to `identify_server`, and the
+    /// connection is returned to the pool.
+    milliseconds late_response{0};
+    /// The call holds its connection for long: others do not wait for it.
+    bool holds = false;
+};
+
 /// Optional conditions of a call: whether the request is sent, over which
 /// connections, and whether its connection is reused.
 struct call_checks
@@ -70,9 +114,10 @@
     /// later process at the address can get the request. Without one the call
     /// fails with `cancelled` and `call_stage::unidentified`.
     std::int64_t required_server = 0;
-    /// Called with the response. Returns a number that identifies the server
-    /// process, which is kept with the connection, or 0 if the response does
-    /// not tell.
+    /// Called with the response, also with one that arrives after the call has
+    /// failed (`connection_use::late_response`). Returns a number that
+    /// identifies the server process, which is kept with the connection, or 0
+    /// if the response does not tell.
     std::function<std::int64_t(http_response const&)> identify_server;
     /// Called immediately before the first byte is written. If it returns
     /// false, nothing is written and the call fails with `cancelled`.
@@ -80,6 +125,7 @@
     /// Called with the response. If it returns false, the connection is closed
     /// instead of being returned to the pool.
     std::function<bool(http_response const&)> may_reuse_connection;
+    connection_use connections;
 };
 
 /// An HTTP/1.1 client with a pool of connections per address.
@@ -118,6 +164,10 @@
     void close_pooled(std::string const& ip, std::uint16_t port,
                       time_point since);
 
+    /// Sets the function that is called after each attempt to connect.
+    void on_connect(
+        std::function<void(connection_cause cause, bool connected)> function);
+
     /// Closes pooled connections that were idle for too long.
     void close_idle(time_point now);
 
