The phases from the start of an entry to full rate are measured

Cause: after a restart of all entries it was not known which phase takes the time until jobs are served again.

Change: `recovery_phases` records when each phase was reached, from times that it is given. The loop of cell_manager feeds it; the event `recovered` and the gauges masticshift_recovery_milliseconds report it.

--- a/libs/gateway/src/cell_manager.cpp
+++ b/libs/gateway/src/cell_manager.cpp
@@ -51,6 +51,7 @@
         request_records(now);
         update_claims();
         update_metrics(now);
+        observe_recovery(now);
         co_await pause(busy ? busy_tick : idle_tick);
     }
 }
@@ -245,6 +246,45 @@
     metrics.runs.set(static_cast<double>(runs));
 }
 
+void cell_manager::observe_recovery(time_point now)
+{
+    auto& recovery = state_.recovery;
+    auto const reach_if = [&](bool condition, recovery_phase phase)
+    {
+        if (condition)
+            recovery.reach(phase, now);
+    };
+    reach_if(state_.configuration_version != 0,
+             recovery_phase::configuration_read);
+    reach_if(state_.registry.last_read().has_value(),
+             recovery_phase::endpoints_read);
+    reach_if(state_.roster.alive_count(now) > 0, recovery_phase::first_peer);
+    reach_if(!state_.roster.dispatchers(now).empty(),
+             recovery_phase::first_claim);
+    reach_if(!cells_.empty(), recovery_phase::cell_taken);
+    std::size_t listed = 0;
+    std::size_t endpoints = 0;
+    for (auto const& [name, cell] : cells_)
+    {
+        listed += cell->dispatcher().usable();
+        endpoints += cell->dispatcher().endpoints();
+    }
+    recovery.record_listed(listed, endpoints, now);
+    if (!recovery.has_ended(now))
+        return;
+    boost::json::object fields;
+    for (std::size_t i = 0; i < recovery_phase_count; ++i)
+    {
+        auto const phase = static_cast<recovery_phase>(i);
+        auto const reached = recovery.reached(phase);
+        auto const ms = reached ? reached->count() : -1;
+        fields[name_of(phase)] = ms;
+        state_.metrics.recovery_milliseconds(name_of(phase))
+            .set(static_cast<double>(ms));
+    }
+    log_event(log_level::info, "recovered", std::move(fields));
+}
+
 asio::awaitable<dispatch::job_result>
 cell_manager::run_job(std::string const& cell, dispatch::job_spec job,
                       dispatch::entry_identity const& origin,
--- a/libs/gateway/src/cell_manager.hpp
+++ b/libs/gateway/src/cell_manager.hpp
@@ -85,6 +85,8 @@
     void request_records(time_point now);
     void update_claims();
     void update_metrics(time_point now);
+    /// Records which phases of the recovery are reached, and reports its end.
+    void observe_recovery(time_point now);
 
     gateway_state& state_;
     transport::http_client& endpoints_;
--- a/libs/gateway/src/cell_runner.cpp
+++ b/libs/gateway/src/cell_runner.cpp
@@ -431,6 +431,8 @@
     for (auto& order : dispatcher_->take_starts())
     {
         state_.metrics.starts.add();
+        state_.recovery.reach(recovery_phase::first_placement,
+                              steady_clock::now());
         asio::co_spawn(executor_,
                        send_start(shared_from_this(), std::move(order)),
                        asio::detached);
--- a/libs/gateway/src/gateway_metrics.hpp
+++ b/libs/gateway/src/gateway_metrics.hpp
@@ -66,6 +66,13 @@
     metrics::counter& relayed_reads = registry.get_counter(
         "masticshift_relayed_reads_total",
         "Reads of the store that a peer has done for this entry");
+    /// Set once, when the recovery after the start has ended.
+    metrics::gauge& recovery_milliseconds(std::string const& phase)
+    {
+        return registry.get_gauge("masticshift_recovery_milliseconds",
+                                  "Time from the start of the process",
+                                  {{"phase", phase}});
+    }
     metrics::gauge& live_peers =
         registry.get_gauge("masticshift_live_peers", "Entries heard of lately");
     metrics::gauge& endpoints = registry.get_gauge(
--- a/libs/gateway/src/gateway_state.hpp
+++ b/libs/gateway/src/gateway_state.hpp
@@ -4,6 +4,7 @@
 #include "caller_watch.hpp"
 #include "gateway_metrics.hpp"
 #include "input_delay.hpp"
+#include "recovery_phases.hpp"
 
 #include <config/gateway_settings.hpp>
 #include <dispatch/cancelled_jobs.hpp>
@@ -22,7 +23,7 @@
 {
     gateway_state(config::gateway_settings from,
                   dispatch::entry_identity const& identity, time_point now)
-        : settings(std::move(from)), roster(identity, now)
+        : settings(std::move(from)), roster(identity, now), recovery(now)
     {
     }
 
@@ -40,6 +41,7 @@
     dispatch::cancelled_jobs cancelled;
     input_delay input;
     caller_watch callers;
+    recovery_phases recovery;
     /// Whether this entry drains.
     bool leaving = false;
     gateway_metrics metrics;
--- a/libs/gateway/src/job_service.cpp
+++ b/libs/gateway/src/job_service.cpp
@@ -157,7 +157,10 @@
     ++open_jobs_;
     auto const result = co_await dispatch(job);
     --open_jobs_;
-    auto const taken = steady_clock::now() - job->accepted;
+    auto const answered = steady_clock::now();
+    auto const taken = answered - job->accepted;
+    if (result.reason == dispatch::end_reason::not_dispatcher)
+        state_.recovery.record_refusal(answered);
     state_.metrics.jobs(result.end).add();
     state_.metrics.job_seconds.observe(taken);
     log_event(log_level::info, "job_answered",
