A list that waits does not hold up other new connections

Cause: a new connection counted as unproven until its first response, which a list that waits gives only after up to 200 ms. Orders would have waited for it where endpoints do not tell their start time; elsewhere such a list is sent over an identified connection only.

Change: a call that holds its connection proves it by connecting.

--- a/libs/transport/src/http_client.cpp
+++ b/libs/transport/src/http_client.cpp
@@ -296,6 +296,9 @@
             if (!connected)
                 co_return connected.error();
             used = std::move(*connected);
+            // Its response is not due for long.
+            if (checks.connections.holds)
+                shared_pool->proven = true;
         }
         auto const now = steady_clock::now();
         if (now >= deadline)
--- a/libs/transport/tests/connection_use_test.cpp
+++ b/libs/transport/tests/connection_use_test.cpp
@@ -157,6 +157,7 @@
         });
     connection_use use;
     use.wait = long_time;
+    use.unproven = long_time;
     f.begin(use, test_timeout);
     REQUIRE(f.run_until_results(2));
     CHECK(f.made == causes{{connection_cause::first, 1},
