Jobs are placed sooner after a start, and /ready waits for endpoints

Cause: after a start the loop of cell_manager ran every 50 ms, the first heartbeats to the entries in the store's table were sent up to 100 ms after it was read, and claims were known to others up to 100 ms after they were made. /ready said yes before endpoints were listed, and a load balancer that checked just before saw the yes a second later.

Change: the loop runs every 10 ms while jobs can't be placed, for 3 s at most. Heartbeats are sent at once when the other entries are known, when a cell is taken over and when half of its endpoints are listed. /ready needs a dispatcher with usable endpoints the first time, and a check in the first 3 s waits up to 400 ms for it. An entry answers no cancellation with 410 in its first second: with the faster check alone, an entry that did not know another data centre's dispatcher yet said 410 of a running job (cancelled_job_test failed in 10 of 10 runs).

Ruled out: claims sooner than 200 ms after the start (entries that start within that time must know each other: the first one would claim all cells of its data centre); a shorter foreign_claim_delay; a Retry-After under a second (the header has whole seconds).

--- a/libs/gateway/src/cancellation_service.cpp
+++ b/libs/gateway/src/cancellation_service.cpp
@@ -20,6 +20,10 @@
 /// A message without a response in this time is sent again.
 constexpr milliseconds call_timeout{150};
 
+/// An entry that has started this long ago knows all dispatchers. Before that,
+/// one that it does not know may have the job.
+constexpr milliseconds dispatchers_known_after{1'000};
+
 /// How often to look for dispatchers that have not acknowledged a message.
 constexpr milliseconds repeat_interval{100};
 
@@ -95,6 +99,7 @@
 {
     auto const dispatchers = state_.roster.dispatchers(now);
     return !dispatchers.empty() &&
+           state_.recovery.age(now) >= dispatchers_known_after &&
            std::ranges::all_of(
                dispatchers,
                [&](auto const& each)
--- a/libs/gateway/src/cell_manager.cpp
+++ b/libs/gateway/src/cell_manager.cpp
@@ -13,7 +13,8 @@
 namespace
 {
 
-/// Interval between iterations of `run` while a cell has runs, and otherwise.
+/// Interval between iterations of `run` while a cell has runs or the process
+/// has just started, and otherwise.
 constexpr milliseconds busy_tick{10};
 constexpr milliseconds idle_tick{50};
 
@@ -52,6 +53,7 @@
         update_claims();
         update_metrics(now);
         observe_recovery(now);
+        busy = busy || state_.recovery.is_starting(now);
         co_await pause(busy ? busy_tick : idle_tick);
     }
 }
@@ -190,10 +192,17 @@
             runner->update_endpoint(record);
     }
     update_claims();
+    announce_claims();
     if (on_records_needed_)
         on_records_needed_();
 }
 
+void cell_manager::announce_claims()
+{
+    if (on_claims_changed_)
+        on_claims_changed_();
+}
+
 void cell_manager::request_records(time_point now)
 {
     if (!on_records_needed_ ||
@@ -269,7 +278,11 @@
         listed += cell->dispatcher().usable();
         endpoints += cell->dispatcher().endpoints();
     }
+    bool const was_starting = recovery.is_starting(now);
     recovery.record_listed(listed, endpoints, now);
+    // The claim has the number of endpoints that can be used.
+    if (was_starting && !recovery.is_starting(now) && !cells_.empty())
+        announce_claims();
     if (!recovery.has_ended(now))
         return;
     boost::json::object fields;
--- a/libs/gateway/src/cell_manager.hpp
+++ b/libs/gateway/src/cell_manager.hpp
@@ -33,6 +33,13 @@
         on_records_needed_ = std::move(function);
     }
 
+    /// `function` is called when other entries should learn the claims of this
+    /// one at once.
+    void on_claims_changed(std::function<void()> function)
+    {
+        on_claims_changed_ = std::move(function);
+    }
+
     /// Dispatches a job in a cell and waits until it has ended. The job was not
     /// sent before `sent_after`.
     asio::awaitable<dispatch::job_result>
@@ -84,6 +91,7 @@
     /// Asks for newer records if a cell needs them.
     void request_records(time_point now);
     void update_claims();
+    void announce_claims();
     void update_metrics(time_point now);
     /// Records which phases of the recovery are reached, and reports its end.
     void observe_recovery(time_point now);
@@ -109,6 +117,7 @@
     time_point ended_peers_taken_{};
     time_point records_requested_{};
     std::function<void()> on_records_needed_;
+    std::function<void()> on_claims_changed_;
 };
 
 } // namespace masticshift::gateway
--- a/libs/gateway/src/gateway.cpp
+++ b/libs/gateway/src/gateway.cpp
@@ -11,6 +11,7 @@
 #include <peer_link/peer_server.hpp>
 #include <transport/http_server.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <optional>
 
@@ -49,6 +50,12 @@
 constexpr milliseconds peer_first_backoff{20};
 constexpr milliseconds peer_longest_backoff{300};
 
+/// The load balancer checks once a second. Soon after the start a check waits
+/// this long for readiness, which would otherwise be seen a second later.
+constexpr milliseconds ready_wait{400};
+constexpr milliseconds ready_wait_age{3'000};
+constexpr milliseconds ready_pause{10};
+
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_unavailable = 503;
 
@@ -174,6 +181,11 @@
                 else
                     state_.metrics.failed_connects.add();
             });
+        cell_manager_.on_claims_changed(
+            [this]
+            {
+                exchange_.send_now();
+            });
         cell_manager_.on_records_needed(
             [this]
             {
@@ -293,14 +305,30 @@
         co_return response;
     }
 
+    /// Later on, a lack of usable endpoints is no reason to prefer other
+    /// entries: none of them has any.
     bool is_ready() const
     {
+        auto const dispatchers = state_.roster.dispatchers(steady_clock::now());
         return !state_.leaving && state_.configuration_version != 0 &&
-               !state_.roster.dispatchers(steady_clock::now()).empty();
+               std::ranges::any_of(dispatchers,
+                                   [&](dispatch::cell_dispatcher const& each)
+                                   {
+                                       return was_ready_ ||
+                                              each.claim.endpoints > 0;
+                                   });
     }
 
     asio::awaitable<std::optional<transport::http_response>> answer_ready()
     {
+        auto const until = steady_clock::now() + ready_wait;
+        auto now = steady_clock::now();
+        while (!is_ready() && state_.recovery.age(now) < ready_wait_age &&
+               now < until)
+        {
+            co_await pause(ready_pause);
+            now = steady_clock::now();
+        }
         bool const ready = is_ready();
         if (std::exchange(was_ready_, ready) != ready)
             log_event(log_level::info, ready ? "ready" : "not_ready",
--- a/libs/gateway/src/peer_exchange.cpp
+++ b/libs/gateway/src/peer_exchange.cpp
@@ -45,6 +45,7 @@
 asio::awaitable<void> peer_exchange::run()
 {
     auto const executor = co_await asio::this_coro::executor;
+    pause_.emplace(executor);
     for (auto const& seed : state_.settings.seeds)
         state_.roster.add_candidate(config::to_string(seed));
     auto due = steady_clock::now();
@@ -57,10 +58,17 @@
             asio::co_spawn(executor, send_heartbeat(*this, peer),
                            asio::detached);
         due = steady_clock::now() + heartbeat_interval;
-        co_await pause(heartbeat_interval);
+        pause_->expires_after(heartbeat_interval);
+        co_await pause_->async_wait(as_values);
     }
 }
 
+void peer_exchange::send_now()
+{
+    if (pause_)
+        pause_->cancel();
+}
+
 void peer_exchange::log_unanswered_withdrawals(time_point now)
 {
     for (auto const& each : state_.roster.withdrawals().take_expired(now))
@@ -159,7 +167,11 @@
                 co_await store_.call(std::move(request), store_timeout);
             written = result && result->status == ok;
         }
+        bool const first = !directory_read_;
         bool const learnt = co_await read_directory();
+        directory_read_ = directory_read_ || learnt;
+        if (first && learnt)
+            send_now();
         co_await pause(written && learnt ? directory_interval : store_pause);
     }
 }
--- a/libs/gateway/src/peer_exchange.hpp
+++ b/libs/gateway/src/peer_exchange.hpp
@@ -22,6 +22,10 @@
     /// Sends heartbeats.
     asio::awaitable<void> run();
 
+    /// Sends the next heartbeats at once: other entries, or a claim of this
+    /// one, have become known.
+    void send_now();
+
     /// Registers this entry in the store and reads there which other entries
     /// exist.
     asio::awaitable<void> register_entry();
@@ -57,6 +61,9 @@
     peer_link::peer_client& peers_;
     cell_manager& cell_manager_;
     store_client& store_;
+    bool directory_read_ = false;
+    /// The pause between heartbeats.
+    std::optional<asio::steady_timer> pause_;
     /// By peer: refused connections in a row.
     std::map<std::string, int> refused_connections_;
     /// Reasons for which messages were refused, each of which is logged once.
--- a/libs/gateway/src/recovery_phases.hpp
+++ b/libs/gateway/src/recovery_phases.hpp
@@ -60,6 +60,11 @@
     /// Whether jobs can't be placed yet, soon after the start.
     bool is_starting(time_point now) const;
 
+    duration age(time_point now) const
+    {
+        return now - started_;
+    }
+
     /// Time from the start of the process; nothing if it was not reached.
     std::optional<milliseconds> reached(recovery_phase phase) const;
 
