--- a/libs/gateway/src/cell_manager.cpp
+++ b/libs/gateway/src/cell_manager.cpp
@@ -13,7 +13,8 @@
 namespace
 {
 
-/// Interval between iterations of `run` while a cell has runs, and otherwise.
+/// Interval between iterations of `run` while a cell has runs or the process
+/// has just started, and otherwise.
 constexpr milliseconds busy_tick{10};
 constexpr milliseconds idle_tick{50};
 
@@ -26,6 +27,9 @@
 /// A reachable endpoint responds within a millisecond.
 constexpr milliseconds probe_timeout{200};
 
+/// Endpoints of a cell that are probed in turn while all of them respond.
+constexpr std::size_t most_probed = 3;
+
 } // namespace
 
 asio::awaitable<void> cell_manager::run()
@@ -50,6 +54,8 @@
         request_records(now);
         update_claims();
         update_metrics(now);
+        observe_recovery(now);
+        busy = busy || state_.recovery.is_starting(now);
         co_await pause(busy ? busy_tick : idle_tick);
     }
 }
@@ -166,7 +172,9 @@
     }
     if (all.empty())
         return std::nullopt;
-    return all[++probe_turn_ % all.size()];
+    // Each endpoint more costs a connection.
+    auto const turn = probe_turn_++ % most_probed;
+    return all[(first_probed_ + turn) % all.size()];
 }
 
 asio::awaitable<void> cell_manager::probe(cell_manager& self,
@@ -184,6 +192,8 @@
             endpoint->ip, endpoint->port, std::move(request),
             steady_clock::now() + probe_timeout);
         answered = result.has_value();
+        if (!answered)
+            ++self.first_probed_;
     }
     self.state_.roster.record_probe(cell.name, answered, steady_clock::now());
     co_await pause(probe_timeout);
@@ -202,10 +212,17 @@
             runner->update_endpoint(record);
     }
     update_claims();
+    announce_claims();
     if (on_records_needed_)
         on_records_needed_();
 }
 
+void cell_manager::announce_claims()
+{
+    if (on_claims_changed_)
+        on_claims_changed_();
+}
+
 void cell_manager::request_records(time_point now)
 {
     if (!on_records_needed_ ||
@@ -265,6 +282,49 @@
                                                                           : 1);
 }
 
+void cell_manager::observe_recovery(time_point now)
+{
+    auto& recovery = state_.recovery;
+    auto const reach_if = [&](bool condition, recovery_phase phase)
+    {
+        if (condition)
+            recovery.reach(phase, now);
+    };
+    reach_if(state_.configuration_version != 0,
+             recovery_phase::configuration_read);
+    reach_if(state_.registry.last_read().has_value(),
+             recovery_phase::endpoints_read);
+    reach_if(state_.roster.alive_count(now) > 0, recovery_phase::first_peer);
+    reach_if(!state_.roster.dispatchers(now).empty(),
+             recovery_phase::first_claim);
+    reach_if(!cells_.empty(), recovery_phase::cell_taken);
+    std::size_t listed = 0;
+    std::size_t endpoints = 0;
+    for (auto const& [name, cell] : cells_)
+    {
+        listed += cell->dispatcher().usable();
+        endpoints += cell->dispatcher().endpoints();
+    }
+    bool const was_starting = recovery.is_starting(now);
+    recovery.record_listed(listed, endpoints, now);
+    // The claim has the number of endpoints that can be used.
+    if (was_starting && !recovery.is_starting(now) && !cells_.empty())
+        announce_claims();
+    if (!recovery.has_ended(now))
+        return;
+    boost::json::object fields;
+    for (std::size_t i = 0; i < recovery_phase_count; ++i)
+    {
+        auto const phase = static_cast<recovery_phase>(i);
+        auto const reached = recovery.reached(phase);
+        auto const ms = reached ? reached->count() : -1;
+        fields[name_of(phase)] = ms;
+        state_.metrics.recovery_milliseconds(name_of(phase))
+            .set(static_cast<double>(ms));
+    }
+    log_event(log_level::info, "recovered", std::move(fields));
+}
+
 asio::awaitable<dispatch::job_result>
 cell_manager::run_job(std::string const& cell, dispatch::job_spec job,
                       dispatch::entry_identity const& origin,
--- a/libs/gateway/src/cell_manager.hpp
+++ b/libs/gateway/src/cell_manager.hpp
@@ -33,6 +33,13 @@
         on_records_needed_ = std::move(function);
     }
 
+    /// `function` is called when other entries should learn the claims of this
+    /// one at once.
+    void on_claims_changed(std::function<void()> function)
+    {
+        on_claims_changed_ = std::move(function);
+    }
+
     /// Dispatches a job in a cell and waits until it has ended. The job was not
     /// sent before `sent_after`.
     asio::awaitable<dispatch::job_result>
@@ -89,7 +96,10 @@
     /// Asks for newer records if a cell needs them.
     void request_records(time_point now);
     void update_claims();
+    void announce_claims();
     void update_metrics(time_point now);
+    /// Records which phases of the recovery are reached, and reports its end.
+    void observe_recovery(time_point now);
 
     gateway_state& state_;
     transport::http_client& endpoints_;
@@ -107,9 +117,13 @@
     /// Cells that are being probed.
     std::set<std::string> probing_;
     std::size_t probe_turn_ = 0;
+    /// Number of the first endpoint that is probed; the next one after each
+    /// probe without a response.
+    std::size_t first_probed_ = 0;
     time_point ended_peers_taken_{};
     time_point records_requested_{};
     std::function<void()> on_records_needed_;
+    std::function<void()> on_claims_changed_;
 };
 
 } // namespace masticshift::gateway
--- a/libs/gateway/src/gateway_metrics.hpp
+++ b/libs/gateway/src/gateway_metrics.hpp
@@ -65,6 +65,16 @@
     metrics::counter& unanswered =
         registry.get_counter("masticshift_unanswered_orders_total",
                              "Calls to endpoints that got no answer");
+    /// `cause`: what became of the connection that it replaces.
+    metrics::counter& endpoint_connections(std::string const& cause)
+    {
+        return registry.get_counter("masticshift_endpoint_connections_total",
+                                    "New connections to endpoints",
+                                    {{"cause", cause}});
+    }
+    metrics::counter& failed_connects =
+        registry.get_counter("masticshift_endpoint_connect_failures_total",
+                             "Attempts to connect to an endpoint that failed");
     metrics::counter& store_calls = registry.get_counter(
         "masticshift_store_calls_total", "Calls to the platform's store");
     metrics::counter& store_failures =
@@ -73,6 +83,13 @@
     metrics::counter& relayed_reads = registry.get_counter(
         "masticshift_relayed_reads_total",
         "Reads of the store that a peer has done for this entry");
+    /// Set once, when the recovery after the start has ended.
+    metrics::gauge& recovery_milliseconds(std::string const& phase)
+    {
+        return registry.get_gauge("masticshift_recovery_milliseconds",
+                                  "Time from the start of the process",
+                                  {{"phase", phase}});
+    }
     metrics::gauge& live_peers =
         registry.get_gauge("masticshift_live_peers", "Entries heard of lately");
     metrics::gauge& endpoints = registry.get_gauge(
