--- a/libs/gateway/tests/evacuation_test.cpp
+++ b/libs/gateway/tests/evacuation_test.cpp
@@ -221,3 +221,23 @@
     fixture.run(milliseconds(2'000));
     CHECK(answered_status(fixture, 0, 1) == 200);
 }
+
+TEST_CASE("while the store is down the last list applies; a removal that was "
+          "missed counts once the store is back, also without its history")
+{
+    two_data_centres fixture;
+    fixture.platform().evacuate("north");
+    fixture.run(notice_time);
+    fixture.platform().faults().store_down = true;
+    // The stand-in still responds to the watch calls that are waiting.
+    fixture.run(milliseconds(1'000));
+    fixture.platform().end_evacuation("north");
+    fixture.run(milliseconds(1'000));
+    CHECK(answered_status(fixture, 0, 1) == 200);
+    CHECK(starts_in(fixture, "north") == 0);
+    fixture.platform().faults().history_gone = true;
+    fixture.platform().faults().store_down = false;
+    fixture.run(milliseconds(1'500));
+    CHECK(answered_status(fixture, 0, 2) == 200);
+    CHECK(starts_in(fixture, "north") == 1);
+}
