Findings of the review, mended

By reviewers who had not written the parts (evacuation, overload, choice of cells, recovery, cancellation): - One failed read after a pause counted as an outage of the store, so that starts went by the list from before the pause. A cancelled id that is submitted again is answered as cancelled, as its first submission may have run. - A token never goes down, and a clock that is far ahead leaves claims above.

--- a/libs/dispatch/include/dispatch/cancelled_jobs.hpp
+++ b/libs/dispatch/include/dispatch/cancelled_jobs.hpp
@@ -29,6 +29,11 @@
 
     bool contains(std::string const& id, time_point now) const;
 
+    /// Records that there was a job of this cancelled id.
+    void record_known(std::string const& id);
+
+    bool was_known(std::string const& id) const;
+
     std::size_t size() const
     {
         return requested_.size();
@@ -37,8 +42,15 @@
 private:
     void forget_old(time_point now);
 
-    /// By id: when its cancellation was requested last.
-    std::unordered_map<std::string, time_point> requested_;
+    struct cancellation
+    {
+        /// When it was requested last.
+        time_point requested{};
+        bool known = false;
+    };
+
+    /// By id.
+    std::unordered_map<std::string, cancellation> requested_;
     /// In the order of recording. An id may be in it more than once.
     std::deque<std::pair<time_point, std::string>> recorded_;
 };
--- a/libs/dispatch/include/dispatch/evacuation_reads.hpp
+++ b/libs/dispatch/include/dispatch/evacuation_reads.hpp
@@ -44,6 +44,11 @@
     time_point resumed_ = time_point::min();
     /// When the first of the failed calls since the last read was made.
     std::optional<time_point> failing_since_;
+    /// When the last of them was made.
+    std::optional<time_point> last_failure_;
+    /// When the last successful read was known to have ended. A watch call ends
+    /// up to a second after it was made.
+    time_point responded_{};
 };
 
 } // namespace masticshift::dispatch
--- a/libs/dispatch/include/dispatch/token.hpp
+++ b/libs/dispatch/include/dispatch/token.hpp
@@ -28,8 +28,9 @@
 /// that a new process outranks the earlier ones without knowing their tokens.
 constexpr std::int64_t claim_number_at(std::int64_t unix_seconds)
 {
+    // Leaves claims for searches above those of a clock that is far ahead.
     return std::clamp<std::int64_t>(unix_seconds - first_claim_second, 1,
-                                    largest_claim_number);
+                                    largest_claim_number - (1 << 26));
 }
 
 constexpr std::int64_t claim_number_of(std::int64_t token)
--- a/libs/dispatch/src/cell_choice.cpp
+++ b/libs/dispatch/src/cell_choice.cpp
@@ -86,7 +86,7 @@
             wait = waits[std::min(needs.priority, waits.size() - 1)];
         // 0: unknown, or nothing is free.
         bool const too_large =
-            current && claim.largest_free_processor > 0 &&
+            knows_waits && claim.largest_free_processor > 0 &&
             claim.largest_free_processor < needs.largest_task;
         has_room =
             !refused && !too_large && claim.free_processor >= needs.processor;
@@ -155,7 +155,15 @@
 {
     if (cells.empty())
         return nullptr;
-    auto const most = free_of(*std::ranges::max_element(cells, {}, free_of));
+    auto const* const freest = *std::ranges::max_element(cells, {}, free_of);
+    bool const knows_waits = std::ranges::any_of(cells,
+                                                 [](cell_view const* each)
+                                                 {
+                                                     return each->knows_waits;
+                                                 });
+    if (!knows_waits)
+        return freest;
+    auto const most = free_of(freest);
     std::erase_if(cells,
                   [&](cell_view const* each)
                   {
@@ -286,7 +294,7 @@
     auto const current = std::ranges::count_if(cells,
                                                [](cell_view const* each)
                                                {
-                                                   return each->current;
+                                                   return each->knows_waits;
                                                });
     if (current < 2)
         return shortest_wait(open);
@@ -329,9 +337,10 @@
         open,
         [&](cell_view const& each)
         {
+            bool const known = local.knows_waits && each.knows_waits;
             return !each.local && each.current && !lacks_endpoints(each) &&
                    (lacks_endpoints(local) ||
-                    each.wait + remote_penalty < local.wait);
+                    (known && each.wait + remote_penalty < local.wait));
         });
 }
 
@@ -371,7 +380,7 @@
     auto const* const local =
         tried.busy.empty() ? choose_local(open, job) : nullptr;
     // A refusal there would be followed by a wait, most often in the same cell.
-    if (local != nullptr && free.empty() && local->current)
+    if (local != nullptr && free.empty() && local->knows_waits)
         return nullptr;
     if (local != nullptr)
         return local;
@@ -468,6 +477,10 @@
         cell_view const view(each, {}, needs);
         if (!view.knows_waits || view.has_room || lacks_endpoints(view))
             return std::nullopt;
+        // `free_processor` is 0 while any task waits, but a smaller one may
+        // start at once.
+        if (each.claim.largest_free_processor >= needs.largest_task)
+            return std::nullopt;
         // The cell may have worked on its queue since.
         auto const wait = view.wait - each.age;
         shortest = shortest ? std::min(*shortest, wait) : wait;
--- a/libs/dispatch/src/dispatcher_jobs.cpp
+++ b/libs/dispatch/src/dispatcher_jobs.cpp
@@ -256,9 +256,12 @@
     if (!demand_.mixed() || usable_processor() <= 0)
         return waits;
     auto const last = std::min(demand_.last_priority(), max_claimed_waits - 1);
-    for (int priority = 0; priority <= last; ++priority)
+    for (int priority = 0; priority < last; ++priority)
         waits.push_back(
             std::chrono::ceil<milliseconds>(wait_of_new(priority, now)));
+    // The last one stands for all further priorities.
+    waits.push_back(std::chrono::ceil<milliseconds>(
+        wait_of_new(demand_.last_priority(), now)));
     return waits;
 }
 
@@ -275,8 +278,9 @@
 void dispatcher::impl::displace(tracked_job const& newcomer, time_point now)
 {
     auto const capacity = usable_processor();
+    // While starts are held, nothing shows whether waiting jobs would be late.
     if (newcomer.waiting_tasks == 0 || newcomer.ended || capacity <= 0 ||
-        !demand_.mixed())
+        !demand_.mixed() || now > records_usable_until_)
         return;
     std::vector<std::pair<job_ptr, duration>> displaced;
     duration wait{0};
@@ -528,11 +532,15 @@
                   (!job->wait_checked && now >= early_end(*job))))
             due.push_back(job);
     }
+    std::map<int, duration> retry_after;
     for (auto const& job : late)
-        finish(job,
-               refused(end_reason::overloaded,
-                       retry_after_late(job->spec.priority, now)),
-               now);
+    {
+        auto const [known, added] =
+            retry_after.try_emplace(job->spec.priority, 0);
+        if (added)
+            known->second = retry_after_late(job->spec.priority, now);
+        finish(job, refused(end_reason::overloaded, known->second), now);
+    }
     for (auto const& job : due)
     {
         if (!std::exchange(job->wait_checked, true))
--- a/libs/dispatch/src/dispatcher_placement.cpp
+++ b/libs/dispatch/src/dispatcher_placement.cpp
@@ -97,7 +97,10 @@
             auto const& [key, job] = each;
             auto const& step = job->spec.steps.front();
             if (largest <= 0)
+            {
+                ++waiting_without_room;
                 return std::nullopt;
+            }
             if (job->spec.steps.size() == 1 && step.need.processor > largest)
             {
                 ++waiting_without_room;
@@ -124,7 +127,8 @@
             queue_.charge(key.priority, taken);
             return taken;
         });
-    if (demand_.mixed() && waiting_without_room > 0)
+    // While an average task fits, only unusually large ones have no room.
+    if (demand_.mixed() && waiting_without_room > 0 && largest < average_need_)
         observe_full(now);
     for (auto const& job : placed)
         queue_.remove(*job);
--- a/libs/dispatch/src/endpoint_account.cpp
+++ b/libs/dispatch/src/endpoint_account.cpp
@@ -65,7 +65,7 @@
 
 bool endpoint_account::advance_token(std::int64_t token)
 {
-    if (link_ == endpoint_link::active)
+    if (link_ == endpoint_link::active || token <= token_)
         return false;
     token_ = token;
     link_ = endpoint_link::unread;
--- a/libs/dispatch/src/evacuation_reads.cpp
+++ b/libs/dispatch/src/evacuation_reads.cpp
@@ -12,8 +12,8 @@
 /// every 1.2 s and must not start anything 5 s after a write.
 constexpr milliseconds longest_pause{1'000};
 
-/// Reads that fail for this long are taken for an outage of the store. A slow
-/// store responds within 240 ms.
+/// Reads that fail for this long, from the beginning of the first to that of
+/// the last one, are taken for an outage of the store. One that fails is none.
 constexpr milliseconds outage_after{500};
 
 /// A watch call ends within 1,200 ms.
@@ -32,6 +32,7 @@
     {
         resumed_ = now;
         failing_since_.reset();
+        last_failure_.reset();
     }
     observed_ = now;
 }
@@ -39,13 +40,18 @@
 void evacuation_reads::record_read(time_point begun)
 {
     last_read_ = std::max(last_read_.value_or(begun), begun);
+    responded_ = std::max(begun, observed_.value_or(begun));
     failing_since_.reset();
+    last_failure_.reset();
 }
 
 void evacuation_reads::record_failure(time_point begun)
 {
-    if (begun >= resumed_ && !failing_since_)
+    if (begun < resumed_)
+        return;
+    if (!failing_since_)
         failing_since_ = begun;
+    last_failure_ = begun;
 }
 
 bool evacuation_reads::is_needed() const
@@ -57,13 +63,14 @@
 {
     if (!last_read_ || is_paused(now))
         return false;
-    bool const outage = failing_since_ && now - *failing_since_ >= outage_after;
+    bool const outage = failing_since_ && last_failure_ &&
+                        *last_failure_ - *failing_since_ >= outage_after;
     return !is_needed() || outage;
 }
 
 bool evacuation_reads::is_overdue(time_point now) const
 {
-    return is_needed() || now - *last_read_ > overdue_after;
+    return is_needed() || now - responded_ > overdue_after;
 }
 
 } // namespace masticshift::dispatch
--- a/libs/dispatch/src/wait_queue.hpp
+++ b/libs/dispatch/src/wait_queue.hpp
@@ -60,11 +60,12 @@
         if (known != places_.end() && !(known->second < place) &&
             !(place < known->second))
             return;
+        // Before the removal: a priority that stays active keeps its tag.
+        if (rank == wait_class::in_time && ++waiting_[priority] == 1)
+            shares_.activate(priority);
         remove(*job);
         places_[job->number] = place;
         jobs_[place] = job;
-        if (rank == wait_class::in_time && ++waiting_[priority] == 1)
-            shares_.activate(priority);
     }
 
     void remove(tracked_job const& job)
--- a/libs/gateway/src/cell_manager.cpp
+++ b/libs/gateway/src/cell_manager.cpp
@@ -341,8 +341,9 @@
         co_return dispatch::job_result{dispatch::job_end::refused,
                                        dispatch::end_reason::withdrawn};
     }
+    // An earlier submission may have been started, so it is not refused.
     if (state_.cancelled.contains(job.id, steady_clock::now()))
-        co_return dispatch::job_result{dispatch::job_end::refused,
+        co_return dispatch::job_result{dispatch::job_end::cancelled,
                                        dispatch::end_reason::cancelled};
     auto const found = cells_.find(cell);
     if (found == cells_.end())
@@ -366,10 +367,13 @@
 bool cell_manager::cancel(std::string const& id, time_point requested,
                           time_point now)
 {
-    bool known = !state_.cancelled.record(id, requested, now);
+    state_.cancelled.record(id, requested, now);
     for (auto const& [name, cell] : cells_)
-        known = cell->cancel(id) || known;
-    return known;
+    {
+        if (cell->cancel(id))
+            state_.cancelled.record_known(id);
+    }
+    return state_.cancelled.was_known(id);
 }
 
 void cell_manager::accept_released(std::string const& cell,
--- a/libs/gateway/src/cell_runner.cpp
+++ b/libs/gateway/src/cell_runner.cpp
@@ -27,6 +27,9 @@
 /// A longer time between two steps means that the process was paused.
 constexpr milliseconds longest_step{300};
 
+/// How often the waits of the claim are computed. Claims are sent each 100 ms.
+constexpr milliseconds waits_interval{50};
+
 /// How often learnt speeds are sent to a peer. They change slowly.
 constexpr milliseconds speeds_interval{1'000};
 constexpr milliseconds peer_timeout{400};
@@ -175,6 +178,8 @@
         dispatch::claim_number_of(dispatcher_->token()),
         dispatch::claim_number_at(unix_seconds()), now);
     auto const token = state_.roster.token_of_claim(claim);
+    if (token <= dispatcher_->token())
+        return;
     state_.roster.record_token(token);
     log_event(log_level::info, "token_raised",
               {{"cell", cell_},
@@ -264,7 +269,7 @@
     flush();
 }
 
-dispatch::dispatch_claim cell_runner::claim(time_point now) const
+dispatch::dispatch_claim cell_runner::claim(time_point now)
 {
     dispatch::dispatch_claim claim;
     claim.cell = cell_;
@@ -274,7 +279,13 @@
         dispatcher_->waiting_tasks() > 0 ? 0 : dispatcher_->free_processor(now);
     claim.backlog = std::chrono::ceil<milliseconds>(dispatcher_->backlog());
     claim.retiring = retiring_;
-    claim.waits = dispatcher_->expected_waits(now);
+    // Visits the queue once for each priority.
+    if (now - waits_updated_ >= waits_interval)
+    {
+        waits_updated_ = now;
+        waits_ = dispatcher_->expected_waits(now);
+    }
+    claim.waits = waits_;
     claim.largest_free_processor = dispatcher_->largest_free_processor();
     claim.evacuated = evacuated_;
     return claim;
--- a/libs/gateway/src/cell_runner.hpp
+++ b/libs/gateway/src/cell_runner.hpp
@@ -81,7 +81,7 @@
     /// Whether all endpoints are released, or the time limit for it has passed.
     bool is_handed_over(time_point now) const;
 
-    dispatch::dispatch_claim claim(time_point now) const;
+    dispatch::dispatch_claim claim(time_point now);
 
     dispatch::dispatcher const& dispatcher() const
     {
@@ -221,6 +221,8 @@
     time_point retiring_since_{};
     dispatch::token_search token_search_;
     time_point speeds_shared_{};
+    time_point waits_updated_{};
+    std::vector<milliseconds> waits_;
     time_point origins_checked_{};
     time_point stepped_ = steady_clock::now();
     std::set<std::string> released_;
--- a/libs/gateway/src/job_service.cpp
+++ b/libs/gateway/src/job_service.cpp
@@ -165,7 +165,9 @@
                 handle_caller_gone(job);
             });
     ++open_jobs_;
+    auto const open = open_ids_.insert(job->job.id);
     auto const result = co_await dispatch(job);
+    open_ids_.erase(open);
     --open_jobs_;
     auto const answered = steady_clock::now();
     auto const taken = answered - job->accepted;
@@ -240,8 +242,10 @@
 
 asio::awaitable<transport::http_response> job_service::cancel(std::string id)
 {
+    // A job may be between two cells.
+    bool const open = open_ids_.contains(id);
     auto const outcome = co_await cancellations_.cancel(std::move(id));
-    co_return outcome == cancellation_outcome::unknown
+    co_return outcome == cancellation_outcome::unknown && !open
         ? platform::encode_no_such_job()
         : platform::encode_cancelled();
 }
@@ -254,13 +258,17 @@
     while (is_wanted(*job))
     {
         if (state_.cancelled.contains(job->job.id, steady_clock::now()))
-            co_return dispatch::job_result{dispatch::job_end::refused,
+            co_return dispatch::job_result{dispatch::job_end::cancelled,
                                            dispatch::end_reason::cancelled};
         auto const now = steady_clock::now();
         auto const cells = state_.roster.dispatchers(now);
         job->job.age =
             std::chrono::duration_cast<milliseconds>(now - job->accepted);
-        if (auto const refused = refuse_by_claims(*job, cells))
+        // An earlier submission of the job may be running.
+        bool const resubmitted = open_ids_.count(job->job.id) > 1;
+        auto const refused =
+            resubmitted ? std::nullopt : refuse_by_claims(*job, cells);
+        if (refused)
             co_return *refused;
         if (choose_cell(*job, cells))
         {
--- a/libs/gateway/src/job_service.hpp
+++ b/libs/gateway/src/job_service.hpp
@@ -10,6 +10,8 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
+#include <string>
 #include <vector>
 
 namespace masticshift::gateway
@@ -82,6 +84,8 @@
     cell_manager& cell_manager_;
     cancellation_service& cancellations_;
     std::size_t open_jobs_ = 0;
+    /// Ids of the open jobs. A caller may submit one again meanwhile.
+    std::multiset<std::string> open_ids_;
     std::int64_t last_submission_ = 0;
     bool closed_ = false;
 };
