--- a/review/standin-3/standin_cases.cpp
+++ b/review/standin-3/standin_cases.cpp
@@ -217,4 +217,62 @@
     co_return late == 0 ? verdict::rule_held : verdict::rule_broken;
 }
 
+asio::awaitable<verdict> odd_entry_with_another_zone(deployment& system,
+                                                     record& log, bool trouble)
+{
+    constexpr milliseconds drain_bound{2'000};
+    constexpr milliseconds observed{4'000};
+    constexpr milliseconds before_drain{8'000};
+    system.add_workers("ikeja", 3);
+    system.add_workers("apapa", 3);
+    system.add_workers("ibadan", 3);
+    system.add_entries({"ikeja", "apapa", "ibadan"});
+    if (!co_await system.start_entries())
+        co_return verdict::not_run;
+    co_await wait(contact);
+    auto const executor = co_await asio::this_coro::executor;
+    auto const end =
+        log.now() + milliseconds(1'000) + before_drain + drain_bound + observed;
+    for (int i = 0; i < 10; ++i)
+        asio::co_spawn(executor, keep_busy(system, log, end, i),
+                       asio::detached);
+    co_await wait(milliseconds(1'000));
+
+    auto& leaving = system.worker_at(0);
+    auto const reports = leaving.reports();
+    while (leaving.reports() == reports)
+        co_await wait(milliseconds(10));
+    if (trouble)
+    {
+        // An entry as the page describes it, but without version, cold_left_ms,
+        // seq and born, and with another zone than the worker's.
+        json::object const odd{
+            {"service", "orders"},
+            {"address", to_string(leaving.where())},
+            {"zone", "apapa"},
+            {"slots", 8},
+            {"state", "ready"},
+            {"capacity", {{"cpu", 16'000}, {"mem_mb", 32'768}, {"gpu", 0}}},
+            {"labels", {"a", "r-ikeja"}}};
+        system.platform().put("servers", leaving.id(), json::serialize(odd));
+        log.add("another writer has put an entry without version, "
+                "cold_left_ms, seq and born under " +
+                leaving.id());
+    }
+    co_await wait(before_drain);
+    leaving.drain();
+    auto const acknowledged = log.now();
+    log.add("the store has accepted that " + leaving.id() + " is draining");
+    co_await wait(drain_bound + observed);
+    std::size_t late = 0;
+    for (auto const& each : system.seen().starts)
+    {
+        if (each.worker == leaving.id() && each.at > acknowledged + drain_bound)
+            ++late;
+    }
+    log.add(std::to_string(late) + " tasks were started on " + leaving.id() +
+            " later than drain_ms after the store had accepted that it drains");
+    co_return late == 0 ? verdict::rule_held : verdict::rule_broken;
+}
+
 } // namespace review
--- a/review/standin-3/standin_cases.hpp
+++ b/review/standin-3/standin_cases.hpp
@@ -29,6 +29,11 @@
 asio::awaitable<verdict>
 odd_entry_of_draining_worker(deployment& system, record& log, bool trouble);
 
+/// Another writer puts an entry with another zone under the id of a worker,
+/// which drains some time later.
+asio::awaitable<verdict> odd_entry_with_another_zone(deployment& system,
+                                                     record& log, bool trouble);
+
 } // namespace review
 
 #endif
--- a/review/standin-3/standin_main.cpp
+++ b/review/standin-3/standin_main.cpp
@@ -15,7 +15,8 @@
 std::map<std::string, case_function> const cases{
     {"cancelled_job_after_restart", cancelled_job_after_restart},
     {"cancelled_job_of_dropped_route", cancelled_job_of_dropped_route},
-    {"odd_entry_of_draining_worker", odd_entry_of_draining_worker}};
+    {"odd_entry_of_draining_worker", odd_entry_of_draining_worker},
+    {"odd_entry_with_another_zone", odd_entry_with_another_zone}};
 
 } // namespace
 
--- a/review/standin-3/standin_platform.hpp
+++ b/review/standin-3/standin_platform.hpp
@@ -103,6 +103,11 @@
     {
         return {ip_, listener_.port()};
     }
+    /// Number of its reports to the store so far.
+    std::int64_t reports() const
+    {
+        return sequence_;
+    }
 
 private:
     struct run_state
