--- a/review/standin-3/standin_cases.cpp
+++ b/review/standin-3/standin_cases.cpp
@@ -169,9 +169,9 @@
 {
     constexpr milliseconds drain_bound{2'000};
     constexpr milliseconds observed{3'000};
-    system.add_workers("ikeja", 3);
-    system.add_workers("apapa", 3);
-    system.add_workers("ibadan", 3);
+    system.add_workers("ikeja", 5);
+    system.add_workers("apapa", 5);
+    system.add_workers("ibadan", 5);
     system.add_entries({"ikeja", "apapa", "ibadan"});
     if (!co_await system.start_entries())
         co_return verdict::not_run;
@@ -223,9 +223,9 @@
     constexpr milliseconds drain_bound{2'000};
     constexpr milliseconds observed{4'000};
     constexpr milliseconds before_drain{8'000};
-    system.add_workers("ikeja", 3);
-    system.add_workers("apapa", 3);
-    system.add_workers("ibadan", 3);
+    system.add_workers("ikeja", 5);
+    system.add_workers("apapa", 5);
+    system.add_workers("ibadan", 5);
     system.add_entries({"ikeja", "apapa", "ibadan"});
     if (!co_await system.start_entries())
         co_return verdict::not_run;
